--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+GOBIN := $(CURDIR)/bin
+
+.PHONY: build demo test generate lint format bench
+
+build:
+	GOBIN=$(GOBIN) go install ./cmd/...
+
+demo: build
+	./scripts/demo.sh
+
+test: lint
+	go test ./...
+
+lint:
+	@test -z "$$(go tool -modfile=tools/go.mod gofumpt -l $$(git ls-files --cached --others --exclude-standard '*.go' | grep -v '^schema/.*\.pb\.go$$\|twirp\.go$$'))" || { echo "not formatted:"; go tool -modfile=tools/go.mod gofumpt -l .; exit 1; }
+	go vet ./...
+	go tool -modfile=tools/go.mod staticcheck ./...
+
+format:
+	go tool -modfile=tools/go.mod gofumpt -w $$(git ls-files --cached --others --exclude-standard '*.go' | grep -v '^schema/.*\.pb\.go$$\|twirp\.go$$')
+
+generate:
+	cd tools/generate && GOBIN=$(GOBIN) go install google.golang.org/protobuf/cmd/protoc-gen-go github.com/twitchtv/twirp/protoc-gen-twirp
+	GOBIN=$(GOBIN) go install github.com/bufbuild/buf/cmd/buf@v1.71.0
+	cd schema && PATH=$(GOBIN):$$PATH buf generate
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
--- /dev/null
+++ b/assigner/assigner.go
@@ -0,0 +1,246 @@
+// Package assigner decides which nodes hold the shards and which incarnations
+// lose their loans, and brings these decisions into the state.
+//
+// Every watcher of the platform comes to the same decisions from the member
+// table. The first one writes them; the others write only if the first has not
+// for a while. A watcher judges nodes only in domains that it hears from, and
+// only while it hears more nodes of them than it misses, so that a host that
+// is cut off judges nobody. A domain that it does not hear from at all is
+// judged lost only once its heartbeat on the platform has stopped too; regions
+// that are merely cut off from each other keep their shards and loans.
+//
+// # Usage
+//
+//	a := assigner.New(editor, directory, name)
+//	a.Step(ctx, state, place, silent)
+package assigner
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"quetzalhub/editor"
+	"quetzalhub/gossiper"
+	"quetzalhub/limiter"
+	"quetzalhub/schema"
+	"quetzalhub/util/set"
+)
+
+const (
+	// fenceMemory is the time for which fences are kept in the state. It is
+	// longer than lost nodes are remembered, so that each is fenced once.
+	fenceMemory = 3 * time.Hour
+	// turn is the time that each watcher leaves to those before it.
+	turn = 3 * time.Second
+)
+
+// Directory pictures the fleet.
+type Directory interface {
+	View() *gossiper.View
+}
+
+// Editor changes the state.
+type Editor interface {
+	Edit(ctx context.Context, change func(*schema.State) error) (uint64, error)
+}
+
+// Assigner writes decisions.
+type Assigner struct {
+	editor    Editor
+	directory Directory
+	domain    string
+	// pending is the time since which something was to be written.
+	pending time.Time
+}
+
+// New returns an assigner for a node of a failure domain.
+func New(e Editor, d Directory, domain string) *Assigner {
+	return &Assigner{editor: e, directory: d, domain: domain}
+}
+
+// Step writes what has to change in the state, if it is this node's turn.
+// Place is the place of this node among the watchers; lost names domains whose
+// heartbeat has stopped.
+func (a *Assigner) Step(ctx context.Context, state *schema.State, place int, lost set.Set[string]) error {
+	if !a.decide(cloneHead(state), lost) {
+		a.pending = time.Time{}
+		return nil
+	}
+	if a.pending.IsZero() {
+		a.pending = time.Now()
+	}
+	if time.Since(a.pending) < time.Duration(place)*turn {
+		return nil
+	}
+	_, err := a.editor.Edit(ctx, func(s *schema.State) error {
+		if !a.decide(s, lost) {
+			return editor.ErrNothing
+		}
+		return nil
+	})
+	if err == editor.ErrNothing {
+		return nil
+	}
+	return err
+}
+
+// cloneHead copies the parts of a state that decisions change.
+func cloneHead(s *schema.State) *schema.State {
+	head := &schema.State{Version: s.GetVersion(), Domains: append([]string(nil), s.GetDomains()...)}
+	head.Fences = append(head.Fences, s.GetFences()...)
+	for _, shard := range s.GetShards() {
+		head.Shards = append(head.Shards, &schema.Shard{
+			Index: shard.GetIndex(), Holder: shard.GetHolder(), Incarnation: shard.GetIncarnation(),
+			Term: shard.GetTerm(), Carried: shard.GetCarried(),
+		})
+	}
+	return head
+}
+
+// decide changes a state to match the fleet and tells whether it did.
+func (a *Assigner) decide(s *schema.State, lost set.Set[string]) bool {
+	view := a.directory.View()
+	changed := addDomains(s, view)
+	if !a.competent(view) {
+		return changed
+	}
+	failed := a.failed(view, lost)
+	fenced := addFences(s, failed, time.Now())
+	pruned := pruneFences(s, time.Now())
+	assigned := assignShards(s, view, failed)
+	return changed || fenced || pruned || assigned
+}
+
+// competent tells whether this node hears more nodes than it misses, in the
+// domains that it hears from.
+func (a *Assigner) competent(view *gossiper.View) bool {
+	heard := set.Of(view.Domains()...)
+	live, missing := 0, 0
+	for _, m := range view.Members {
+		switch {
+		case !heard.Has(m.GetDomain()):
+		case gossiper.Live(m):
+			live++
+		case m.GetStatus() == schema.Status_STATUS_FAILED:
+			missing++
+		}
+	}
+	return live > missing
+}
+
+// failed returns the starts of nodes that failed, as far as this node may
+// judge.
+func (a *Assigner) failed(view *gossiper.View, lost set.Set[string]) set.Set[gossiper.Start] {
+	judged := set.Of(view.Domains()...)
+	for domain := range lost {
+		judged.Add(domain)
+	}
+	failed := set.Of(view.Replaced...)
+	for _, m := range view.Members {
+		if m.GetStatus() == schema.Status_STATUS_FAILED && judged.Has(m.GetDomain()) {
+			failed.Add(gossiper.Start{Name: m.GetName(), Incarnation: m.GetIncarnation()})
+		}
+	}
+	return failed
+}
+
+func addDomains(s *schema.State, view *gossiper.View) bool {
+	known := set.Of(s.GetDomains()...)
+	changed := false
+	for _, domain := range view.Domains() {
+		if !known.Has(domain) {
+			s.Domains = append(s.Domains, domain)
+			changed = true
+		}
+	}
+	return changed
+}
+
+func addFences(s *schema.State, failed set.Set[gossiper.Start], now time.Time) bool {
+	fenced := set.Of[gossiper.Start]()
+	for _, f := range s.GetFences() {
+		fenced.Add(gossiper.Start{Name: f.GetName(), Incarnation: f.GetIncarnation()})
+	}
+	changed := false
+	for start := range failed {
+		if fenced.Has(start) {
+			continue
+		}
+		s.Fences = append(s.Fences, &schema.Fence{
+			Name: start.Name, Incarnation: start.Incarnation, Created: timestamppb.New(now),
+		})
+		changed = true
+	}
+	return changed
+}
+
+func pruneFences(s *schema.State, now time.Time) bool {
+	kept := s.Fences[:0:0]
+	for _, f := range s.GetFences() {
+		if now.Sub(f.GetCreated().AsTime()) < fenceMemory {
+			kept = append(kept, f)
+		}
+	}
+	changed := len(kept) != len(s.Fences)
+	s.Fences = kept
+	return changed
+}
+
+func assignShards(s *schema.State, view *gossiper.View, failed set.Set[gossiper.Start]) bool {
+	held := map[uint32]*schema.Shard{}
+	for _, shard := range s.GetShards() {
+		held[shard.GetIndex()] = shard
+	}
+	changed := false
+	for index := range uint32(limiter.Shards) {
+		shard := held[index]
+		if shard != nil && !vacant(shard, view, failed) {
+			continue
+		}
+		holder := Choose(view, index, "")
+		if holder == nil {
+			continue
+		}
+		if shard == nil {
+			shard = &schema.Shard{Index: index}
+			s.Shards = append(s.Shards, shard)
+		}
+		shard.Holder, shard.Incarnation = holder.GetName(), holder.GetIncarnation()
+		shard.Term++
+		shard.Carried = false
+		changed = true
+	}
+	return changed
+}
+
+// vacant tells whether the holder of a shard is gone.
+func vacant(shard *schema.Shard, view *gossiper.View, failed set.Set[gossiper.Start]) bool {
+	if failed.Has(gossiper.Start{Name: shard.GetHolder(), Incarnation: shard.GetIncarnation()}) {
+		return true
+	}
+	m := view.Members[shard.GetHolder()]
+	if m == nil {
+		return false
+	}
+	return m.GetStatus() == schema.Status_STATUS_LEFT || m.GetIncarnation() > shard.GetIncarnation()
+}
+
+// Choose returns the node that should hold a shard by rendezvous hashing, other
+// than the excluded one, or nil.
+func Choose(view *gossiper.View, index uint32, excluded string) *schema.Member {
+	var best *schema.Member
+	var highest uint64
+	for name, m := range view.Members {
+		if m.GetStatus() != schema.Status_STATUS_ALIVE || name == excluded {
+			continue
+		}
+		score := xxhash.Sum64String(name + "/" + string(rune('a'+index)))
+		if best == nil || score > highest {
+			best, highest = m, score
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/cmd/quetzal-standin/main.go
@@ -0,0 +1,24 @@
+// Command quetzal-standin runs stand-ins for the outside systems, for the demo
+// and for tests.
+//
+// Usage:
+//
+//	quetzal-standin platform -listen 127.0.0.1:6000
+//	quetzal-standin upstream -listen 127.0.0.1:9000 -local 127.0.0.1:7002 -service orders
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(&platformCommand{}, "")
+	subcommands.Register(&upstreamCommand{}, "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/cmd/quetzalctl/fleet.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/google/subcommands"
+
+	"quetzalhub/gossiper"
+	"quetzalhub/schema"
+)
+
+// hostList lists the hosts as seen by a node.
+type hostList struct{ *options }
+
+func (*hostList) Name() string           { return "hosts" }
+func (*hostList) Synopsis() string       { return "list the hosts with their upstreams and versions" }
+func (*hostList) SetFlags(*flag.FlagSet) {}
+func (*hostList) Usage() string          { return "hosts\n\nExample: quetzalctl hosts\n\n" }
+
+func (c *hostList) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	fleet, err := describe(ctx, c.node)
+	if err != nil {
+		return fail(err)
+	}
+	versions := askAll(ctx, fleet.GetMembers())
+	var rows [][]string
+	for i, m := range fleet.GetMembers() {
+		rows = append(rows, []string{
+			m.GetName(), m.GetRegion(), m.GetDomain(), m.GetAddress(),
+			short(m.GetStatus().String()), endpoints(m), strconv.FormatUint(versions[i], 10),
+		})
+	}
+	return c.table(fleet, "HOST\tREGION\tDOMAIN\tADDRESS\tSTATUS\tUPSTREAMS\tVERSION", rows)
+}
+
+func endpoints(m *schema.Member) string {
+	var list []string
+	for _, e := range m.GetEndpoints() {
+		list = append(list, e.GetService()+":"+short(e.GetPhase().String()))
+	}
+	return strings.Join(list, " ")
+}
+
+// short returns the last word of an enumeration's name in lower case.
+func short(name string) string {
+	return strings.ToLower(name[strings.LastIndexByte(name, '_')+1:])
+}
+
+// shardList lists the shards.
+type shardList struct{ *options }
+
+func (*shardList) Name() string           { return "shards" }
+func (*shardList) Synopsis() string       { return "list which host allots the rates of which workspaces" }
+func (*shardList) SetFlags(*flag.FlagSet) {}
+func (*shardList) Usage() string          { return "shards\n\nExample: quetzalctl shards\n\n" }
+
+func (c *shardList) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	fleet, err := describe(ctx, c.node)
+	if err != nil {
+		return fail(err)
+	}
+	var rows [][]string
+	for _, s := range fleet.GetShards() {
+		rows = append(rows, []string{
+			strconv.FormatUint(uint64(s.GetIndex()), 10), s.GetHolder(), strconv.FormatUint(s.GetTerm(), 10),
+		})
+	}
+	return c.table(fleet.GetShards(), "SHARD\tHOLDER\tTERM", rows)
+}
+
+// counterList sums the counters of all hosts.
+type counterList struct{ *options }
+
+func (*counterList) Name() string           { return "counters" }
+func (*counterList) Synopsis() string       { return "sum the refusals and retries of all hosts by reason" }
+func (*counterList) SetFlags(*flag.FlagSet) {}
+func (*counterList) Usage() string          { return "counters\n\nExample: quetzalctl counters\n\n" }
+
+// counters are the counted reasons of one host.
+type counters struct {
+	Refusals map[string]int64 `json:"refusals"`
+	Calls    map[string]int64 `json:"calls_refused"`
+	Retries  map[string]int64 `json:"retries"`
+}
+
+func (c *counterList) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	fleet, err := describe(ctx, c.node)
+	if err != nil {
+		return fail(err)
+	}
+	sum := counters{map[string]int64{}, map[string]int64{}, map[string]int64{}}
+	for _, m := range fleet.GetMembers() {
+		if !gossiper.Live(m) {
+			continue
+		}
+		var one counters
+		if err := get(ctx, m.GetAdmin(), "/debug/vars", &one); err != nil {
+			return fail(err)
+		}
+		add(sum.Refusals, one.Refusals)
+		add(sum.Calls, one.Calls)
+		add(sum.Retries, one.Retries)
+	}
+	var rows [][]string
+	rows = append(rows, nonZero("refused to callers", sum.Refusals)...)
+	rows = append(rows, nonZero("refused between hosts", sum.Calls)...)
+	rows = append(rows, nonZero("retries", sum.Retries)...)
+	return c.table(sum, "COUNTER\tREASON\tCOUNT", rows)
+}
+
+func add(sum, one map[string]int64) {
+	for name, n := range one {
+		sum[name] += n
+	}
+}
+
+func nonZero(kind string, counts map[string]int64) [][]string {
+	var rows [][]string
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		if counts[name] != 0 {
+			rows = append(rows, []string{kind, name, strconv.FormatInt(counts[name], 10)})
+		}
+	}
+	return rows
+}
--- /dev/null
+++ b/cmd/quetzalctl/main.go
@@ -0,0 +1,51 @@
+// Command quetzalctl is the operators' client.
+//
+// Usage:
+//
+//	quetzalctl [-platform ADDRESS] [-node ADDRESS] [-json] COMMAND [flags] [arguments]
+//
+// "quetzalctl help" lists the commands, "quetzalctl help COMMAND" shows one
+// with an example.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+)
+
+func main() {
+	o := &options{}
+	flag.StringVar(&o.platform, "platform", envOr("QUETZAL_PLATFORM", "127.0.0.1:6000"), "address of the platform's object API")
+	flag.StringVar(&o.node, "node", envOr("QUETZAL_NODE", "127.0.0.1:7003"), "operators' address of any node")
+	flag.BoolVar(&o.json, "json", false, "print JSON")
+	flag.StringVar(&o.author, "author", envOr("USER", "operator"), "name recorded with changes")
+	flag.DurationVar(&o.wait, "wait", defaultWait, "time to wait until a change is in force everywhere")
+	for _, name := range []string{"platform", "node", "json", "author", "wait"} {
+		subcommands.ImportantFlag(name)
+	}
+	subcommands.Register(subcommands.HelpCommand(), "help")
+	subcommands.Register(subcommands.FlagsCommand(), "help")
+	subcommands.Register(&workspaceSet{options: o}, "configuration")
+	subcommands.Register(&workspaceList{options: o}, "configuration")
+	subcommands.Register(&workspaceRemove{options: o}, "configuration")
+	subcommands.Register(&keyGive{options: o}, "configuration")
+	subcommands.Register(&keyWithdraw{options: o}, "configuration")
+	subcommands.Register(&keyList{options: o}, "configuration")
+	subcommands.Register(&routeSet{options: o}, "configuration")
+	subcommands.Register(&routeList{options: o}, "configuration")
+	subcommands.Register(&hostList{options: o}, "fleet")
+	subcommands.Register(&shardList{options: o}, "fleet")
+	subcommands.Register(&counterList{options: o}, "fleet")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
+
+func envOr(name, otherwise string) string {
+	if value := os.Getenv(name); value != "" {
+		return value
+	}
+	return otherwise
+}
--- /dev/null
+++ b/cmd/quetzalctl/options.go
@@ -0,0 +1,120 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/juju/errors"
+
+	"quetzalhub/editor"
+	"quetzalhub/schema"
+	"quetzalhub/storer"
+)
+
+const (
+	// callTimeout bounds one call to the platform or a node.
+	callTimeout = 3 * time.Second
+	// defaultWait is the time to wait until a change is in force everywhere.
+	defaultWait = 10 * time.Second
+)
+
+// Exit codes beyond those of package subcommands.
+const (
+	exitConflict subcommands.ExitStatus = 3
+	exitUnknown  subcommands.ExitStatus = 4
+	exitPartial  subcommands.ExitStatus = 5
+)
+
+// options are the flags common to all commands.
+type options struct {
+	platform string
+	node     string
+	json     bool
+	author   string
+	wait     time.Duration
+}
+
+func (o *options) editor() *editor.Editor {
+	return editor.New(storer.NewHTTP(o.platform, callTimeout), "operator "+o.author)
+}
+
+// read returns the state on the platform.
+func (o *options) read(ctx context.Context) (*schema.State, error) {
+	state, _, err := o.editor().Read(ctx)
+	return state, err
+}
+
+// change edits the state and waits until it is in force everywhere.
+func (o *options) change(ctx context.Context, what string, edit func(*schema.State) error) subcommands.ExitStatus {
+	version, err := o.editor().Edit(ctx, edit)
+	if err != nil {
+		return fail(err)
+	}
+	return o.await(ctx, what, version)
+}
+
+func fail(err error) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, "quetzalctl:", err)
+	switch {
+	case errors.Is(err, storer.ErrConflict):
+		return exitConflict
+	case errors.Is(err, editor.ErrUnknown):
+		return exitUnknown
+	default:
+		return subcommands.ExitFailure
+	}
+}
+
+func usage(format string, arguments ...any) subcommands.ExitStatus {
+	fmt.Fprintf(os.Stderr, "quetzalctl: "+format+"\n", arguments...)
+	return subcommands.ExitUsageError
+}
+
+// table prints rows as a table for people, or the document as JSON.
+func (o *options) table(document any, header string, rows [][]string) subcommands.ExitStatus {
+	if o.json {
+		encoder := json.NewEncoder(os.Stdout)
+		encoder.SetIndent("", "  ")
+		if err := encoder.Encode(document); err != nil {
+			return fail(err)
+		}
+		return subcommands.ExitSuccess
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, header)
+	for _, row := range rows {
+		fmt.Fprintln(w, strings.Join(row, "\t"))
+	}
+	if err := w.Flush(); err != nil {
+		return fail(err)
+	}
+	return subcommands.ExitSuccess
+}
+
+// get reads a document from a node.
+func get(ctx context.Context, address, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return errors.Annotate(err, "calling node")
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Annotate(json.Unmarshal(body, into), "decoding the node's answer")
+}
--- /dev/null
+++ b/cmd/quetzalctl/workspaces.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"strconv"
+
+	"github.com/google/subcommands"
+
+	"quetzalhub/configurer"
+	"quetzalhub/schema"
+)
+
+// workspaceSet creates or changes a workspace.
+type workspaceSet struct {
+	*options
+	rate  float64
+	burst float64
+}
+
+func (*workspaceSet) Name() string     { return "workspace-set" }
+func (*workspaceSet) Synopsis() string { return "create a workspace or change its rate and burst" }
+func (*workspaceSet) Usage() string {
+	return "workspace-set -rate N -burst N NAME\n\nExample: quetzalctl workspace-set -rate 200 -burst 400 gloves\n\n"
+}
+
+func (c *workspaceSet) SetFlags(f *flag.FlagSet) {
+	f.Float64Var(&c.rate, "rate", 0, "requests per second over the whole fleet")
+	f.Float64Var(&c.burst, "burst", 1, "requests that may come at once over the whole fleet")
+}
+
+func (c *workspaceSet) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != 1 {
+		return usage("workspace-set takes one name")
+	}
+	return c.change(ctx, "workspace "+f.Arg(0), func(s *schema.State) error {
+		return configurer.SetWorkspace(s, f.Arg(0), c.rate, c.burst)
+	})
+}
+
+// workspaceRemove removes a workspace.
+type workspaceRemove struct{ *options }
+
+func (*workspaceRemove) Name() string           { return "workspace-remove" }
+func (*workspaceRemove) Synopsis() string       { return "remove a workspace with all its keys" }
+func (*workspaceRemove) SetFlags(*flag.FlagSet) {}
+func (*workspaceRemove) Usage() string {
+	return "workspace-remove NAME\n\nExample: quetzalctl workspace-remove gloves\n\n"
+}
+
+func (c *workspaceRemove) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != 1 {
+		return usage("workspace-remove takes one name")
+	}
+	return c.change(ctx, "workspace "+f.Arg(0), func(s *schema.State) error {
+		return configurer.RemoveWorkspace(s, f.Arg(0))
+	})
+}
+
+// workspaceList lists the workspaces.
+type workspaceList struct{ *options }
+
+func (*workspaceList) Name() string           { return "workspaces" }
+func (*workspaceList) Synopsis() string       { return "list the workspaces" }
+func (*workspaceList) SetFlags(*flag.FlagSet) {}
+func (*workspaceList) Usage() string {
+	return "workspaces\n\nExample: quetzalctl -json workspaces\n\n"
+}
+
+func (c *workspaceList) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	state, err := c.read(ctx)
+	if err != nil {
+		return fail(err)
+	}
+	var rows [][]string
+	for _, w := range state.GetConfig().GetWorkspaces() {
+		rows = append(rows, []string{w.GetName(), number(w.GetRate()), number(w.GetBurst()), strconv.Itoa(len(w.GetKeys()))})
+	}
+	return c.table(state.GetConfig().GetWorkspaces(), "WORKSPACE\tRATE\tBURST\tKEYS", rows)
+}
+
+func number(v float64) string { return strconv.FormatFloat(v, 'f', -1, 64) }
--- /dev/null
+++ b/cmd/quetzald/main.go
@@ -0,0 +1,66 @@
+// Command quetzald is the node that runs beside each upstream.
+//
+// Usage:
+//
+//	quetzald -settings /etc/quetzald.ini
+//	quetzald -check /etc/quetzald.ini
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"go.uber.org/fx"
+
+	"quetzalhub/loader"
+	"quetzalhub/schema"
+	"quetzalhub/server"
+)
+
+// stopMargin is the time for a stop beyond the drain time.
+const stopMargin = 10 * time.Second
+
+func main() {
+	settings := flag.String("settings", "", "run with the settings in this `file`")
+	check := flag.String("check", "", "check the settings in this `file` and exit")
+	flag.Parse()
+	if *check != "" {
+		load(*check)
+		return
+	}
+	if *settings == "" || flag.NArg() > 0 {
+		flag.Usage()
+		os.Exit(2)
+	}
+	run(load(*settings))
+}
+
+// load exits with all faults printed if the settings are not valid.
+func load(path string) *schema.Settings {
+	s, err := loader.Load(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	return s
+}
+
+func run(s *schema.Settings) {
+	logger := log.NewWithOptions(os.Stderr, log.Options{ReportTimestamp: true, Prefix: s.GetNode().GetName()})
+	if level, err := log.ParseLevel(s.GetNode().GetLevel()); err == nil {
+		logger.SetLevel(level)
+	}
+	app := fx.New(
+		fx.NopLogger,
+		fx.Supply(s, logger),
+		fx.StopTimeout(s.GetNode().GetDrain().AsDuration()+stopMargin),
+		server.Module,
+	)
+	if err := app.Err(); err != nil {
+		logger.Fatal("node not assembled", "err", err)
+	}
+	app.Run()
+}
--- /dev/null
+++ b/configurer/configurer.go
@@ -0,0 +1,206 @@
+// Package configurer changes the configuration on behalf of operators.
+//
+// # Usage
+//
+//	version, err := editor.Edit(ctx, func(s *schema.State) error {
+//		return configurer.SetWorkspace(s, "gloves", 100, 200)
+//	})
+//
+// Every function checks its arguments and either changes the state as a whole
+// or returns an error that names the fault.
+package configurer
+
+import (
+	"crypto/rand"
+	"math"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"quetzalhub/resolver"
+	"quetzalhub/schema"
+)
+
+const (
+	// MaxRate is the largest accepted rate in requests per second.
+	MaxRate = 1e7
+	// MaxBurst is the largest accepted burst in requests.
+	MaxBurst = 1e8
+	// keyPrefix marks secrets, so that they are recognized where they leak.
+	keyPrefix = "qz_"
+)
+
+var validName = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+// Classes names the importance classes.
+var Classes = map[string]schema.Class{
+	"low":      schema.Class_CLASS_LOW,
+	"normal":   schema.Class_CLASS_NORMAL,
+	"high":     schema.Class_CLASS_HIGH,
+	"critical": schema.Class_CLASS_CRITICAL,
+}
+
+// ClassName returns the name of a class.
+func ClassName(c schema.Class) string {
+	for name, class := range Classes {
+		if class == c {
+			return name
+		}
+	}
+	return "none"
+}
+
+// CheckName returns an error if a name may not be used.
+func CheckName(name string) error {
+	if !validName.MatchString(name) {
+		return errors.NotValidf("name %q (lower-case letters, digits, dot, dash and underscore, at most 63)", name)
+	}
+	return nil
+}
+
+// CheckLimit returns an error if a rate or burst is out of range.
+func CheckLimit(rate, burst float64) error {
+	if math.IsNaN(rate) || rate < 0 || rate > MaxRate {
+		return errors.NotValidf("rate %v (from 0 to %.0f requests per second)", rate, MaxRate)
+	}
+	if math.IsNaN(burst) || burst < 1 || burst > MaxBurst {
+		return errors.NotValidf("burst %v (from 1 to %.0f requests)", burst, MaxBurst)
+	}
+	return nil
+}
+
+// config returns the configuration of a state and counts the change.
+func config(s *schema.State) *schema.Config {
+	if s.Config == nil {
+		s.Config = &schema.Config{}
+	}
+	s.Config.Version++
+	return s.Config
+}
+
+// Workspace returns a workspace of the state.
+func Workspace(s *schema.State, name string) (*schema.Workspace, error) {
+	for _, w := range s.GetConfig().GetWorkspaces() {
+		if w.GetName() == name {
+			return w, nil
+		}
+	}
+	return nil, errors.NotFoundf("workspace %q", name)
+}
+
+// SetWorkspace creates a workspace or changes its rate and burst.
+func SetWorkspace(s *schema.State, name string, rate, burst float64) error {
+	if err := CheckName(name); err != nil {
+		return err
+	}
+	if err := CheckLimit(rate, burst); err != nil {
+		return err
+	}
+	w, err := Workspace(s, name)
+	if err != nil {
+		w = &schema.Workspace{Name: name}
+	}
+	c := config(s)
+	if err != nil {
+		c.Workspaces = append(c.Workspaces, w)
+	}
+	w.Rate, w.Burst = rate, burst
+	return nil
+}
+
+// RemoveWorkspace removes a workspace with all its keys.
+func RemoveWorkspace(s *schema.State, name string) error {
+	if _, err := Workspace(s, name); err != nil {
+		return err
+	}
+	c := config(s)
+	c.Workspaces = slices.DeleteFunc(c.Workspaces, func(w *schema.Workspace) bool { return w.GetName() == name })
+	return nil
+}
+
+// NewSecret returns a secret for a key.
+func NewSecret() string { return keyPrefix + rand.Text() }
+
+// GiveKey adds a key with the given secret to a workspace and returns its
+// fingerprint.
+func GiveKey(s *schema.State, workspace, secret string) (string, error) {
+	w, err := Workspace(s, workspace)
+	if err != nil {
+		return "", err
+	}
+	digest := resolver.DigestOf(secret)
+	config(s)
+	w.Keys = append(w.Keys, &schema.Key{Digest: digest[:], Created: timestamppb.Now()})
+	return resolver.Fingerprint(digest[:]), nil
+}
+
+// WithdrawKey marks the key with a fingerprint as withdrawn for good.
+func WithdrawKey(s *schema.State, fingerprint string) error {
+	var found *schema.Key
+	for _, w := range s.GetConfig().GetWorkspaces() {
+		for _, k := range w.GetKeys() {
+			if resolver.Fingerprint(k.GetDigest()) == fingerprint {
+				found = k
+			}
+		}
+	}
+	if found == nil {
+		return errors.NotFoundf("key %q", fingerprint)
+	}
+	if found.GetWithdrawn() != nil {
+		return errors.AlreadyExistsf("withdrawal of key %q", fingerprint)
+	}
+	config(s)
+	found.Withdrawn = timestamppb.Now()
+	return nil
+}
+
+// Route is a route as given by an operator.
+type Route struct {
+	Prefix     string
+	Methods    []string
+	Service    string
+	Class      string
+	Idempotent bool
+	Open       bool
+	Timeout    time.Duration
+}
+
+// SetRoute creates or replaces the route with the same prefix and methods.
+func SetRoute(s *schema.State, r Route) error {
+	class, ok := Classes[r.Class]
+	if !ok {
+		return errors.NotValidf("class %q (low, normal, high or critical)", r.Class)
+	}
+	if !strings.HasPrefix(r.Prefix, "/") {
+		return errors.NotValidf("prefix %q (must begin with /)", r.Prefix)
+	}
+	if err := CheckName(r.Service); err != nil {
+		return errors.Annotate(err, "service")
+	}
+	if r.Timeout < 0 || r.Timeout > 10*time.Minute {
+		return errors.NotValidf("timeout %v (from 0s to 10m)", r.Timeout)
+	}
+	slices.Sort(r.Methods)
+	next := &schema.Route{
+		Prefix: r.Prefix, Methods: r.Methods, Service: r.Service, Class: class,
+		Idempotent: r.Idempotent, Open: r.Open,
+	}
+	if r.Timeout > 0 {
+		next.Timeout = durationpb.New(r.Timeout)
+	}
+	c := config(s)
+	for i, old := range c.Routes {
+		if old.GetPrefix() == r.Prefix && slices.Equal(old.GetMethods(), r.Methods) {
+			c.Routes[i] = next
+			return nil
+		}
+	}
+	c.Routes = append(c.Routes, next)
+	return nil
+}
--- /dev/null
+++ b/forwarder/forwarder.go
@@ -0,0 +1,148 @@
+// Package forwarder carries requests from callers to upstreams and the whole
+// answers back.
+//
+// A request passes three handlers. Entry takes it from a caller at any node,
+// finds workspace and route, and admits it. The dispatcher picks a node beside
+// an upstream of the service and sends the call there, again to another one if
+// it did not run or may run twice. Relay takes the call at that node, waits
+// for the guard and runs it at the upstream. Calls made by an upstream come in
+// at Egress of the node beside it and go to the dispatcher as part of the same
+// request.
+//
+// # Usage
+//
+//	d := forwarder.NewDispatcher(...)
+//	http.Serve(callers, forwarder.NewEntry(d, ...))
+//	http.Serve(peers, forwarder.NewRelay(...))
+//	http.Serve(local, forwarder.NewEgress(d, ...))
+package forwarder
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"quetzalhub/balancer"
+	"quetzalhub/guard"
+	"quetzalhub/refuser"
+	"quetzalhub/resolver"
+	"quetzalhub/schema"
+	"quetzalhub/tracker"
+	"quetzalhub/util/set"
+)
+
+// State gives the present configuration and tells whether it may be used.
+type State interface {
+	Snapshot() *resolver.Snapshot
+	Fresh() bool
+}
+
+// Admitter holds workspaces to their rates.
+type Admitter interface {
+	Admit(ctx context.Context, workspace string) error
+}
+
+// Picker chooses the node for a call.
+type Picker interface {
+	Pick(service string, tried set.Set[string]) (*balancer.Target, bool)
+}
+
+// Gate protects the upstream beside this node.
+type Gate interface {
+	Enter(ctx context.Context, r guard.Request) (*guard.Pass, error)
+	Level() uint32
+}
+
+// Throttler bounds the extra attempts of this node.
+type Throttler interface {
+	Earn()
+	Take() bool
+}
+
+// Identity names this start of this node.
+type Identity interface {
+	Identity() (name string, incarnation uint64)
+}
+
+// Call is a request on its way to a service.
+type Call struct {
+	Parent *tracker.Request
+	Route  *resolver.Route
+	Method string
+	// URI is the path and query.
+	URI    string
+	Header http.Header
+	Body   []byte
+	// Retries is false if the call may not be tried again.
+	Retries bool
+}
+
+// Answer is what came back. The caller closes the body.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+	Length int64
+	Report *schema.Report
+}
+
+// bufferSize is the size of the buffers through which bodies are copied.
+const bufferSize = 32 << 10
+
+var buffers = sync.Pool{New: func() any {
+	b := make([]byte, bufferSize)
+	return &b
+}}
+
+// writeAnswer sends an answer on. An answer that was cut short cuts the
+// connection, so that it never looks whole. The report may be empty.
+func writeAnswer(w http.ResponseWriter, a *Answer, requestID, report string) {
+	defer a.Body.Close()
+	copyAnswer(w.Header(), a.Header)
+	w.Header().Set(HeaderRequest, requestID)
+	if report != "" {
+		w.Header().Set(headerReport, report)
+	}
+	w.WriteHeader(a.Status)
+	copyBody(w, a.Body, a.Length < 0)
+}
+
+// copyBody copies a body, flushing each piece if its length is not known.
+func copyBody(w http.ResponseWriter, body io.Reader, flush bool) {
+	buffer := buffers.Get().(*[]byte)
+	defer buffers.Put(buffer)
+	controller := http.NewResponseController(w)
+	for {
+		n, err := body.Read(*buffer)
+		if n > 0 {
+			if _, failed := w.Write((*buffer)[:n]); failed != nil {
+				panic(http.ErrAbortHandler)
+			}
+		}
+		if err == io.EOF {
+			return
+		}
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if flush {
+			_ = controller.Flush()
+		}
+	}
+}
+
+// refusalOf returns the code and detail of an error from a decision.
+func refusalOf(err error) (refuser.Code, refuser.Detail) {
+	refusal, ok := err.(*refuser.Error)
+	if !ok {
+		return refuser.ConnectionLost, refuser.Detail{}
+	}
+	return refusal.Code, refusal.Detail
+}
+
+// timeLeft returns the time until a deadline, never negative.
+func timeLeft(deadline time.Time) time.Duration {
+	return max(time.Until(deadline), 0)
+}
--- /dev/null
+++ b/forwarder/shedder.go
@@ -0,0 +1,80 @@
+package forwarder
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"quetzalhub/resolver"
+)
+
+const (
+	// shedWeight is the weight of a new level in the mean of a route.
+	shedWeight = 0.2
+	// shedHalfLife is the time in which a level that is not renewed halves.
+	shedHalfLife = time.Second
+)
+
+// Shedder refuses requests at the entry that would be shed below, by the
+// levels that travelled back with earlier answers of the same route.
+type Shedder struct {
+	mu     sync.RWMutex
+	levels map[shedKey]*shedLevel
+}
+
+type shedKey struct {
+	prefix  string
+	service string
+}
+
+type shedLevel struct {
+	mu      sync.Mutex
+	mean    float64
+	learned time.Time
+}
+
+// NewShedder returns a shedder that refuses nothing.
+func NewShedder() *Shedder { return &Shedder{levels: map[shedKey]*shedLevel{}} }
+
+// Admits tells whether a priority is likely to pass.
+func (s *Shedder) Admits(r *resolver.Route, priority uint32) bool {
+	l := s.level(r)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return float64(priority) >= math.Floor(l.decayed(time.Now()))
+}
+
+// Learn records the level that came back with an answer.
+func (s *Shedder) Learn(r *resolver.Route, level uint32) {
+	l := s.level(r)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	mean := l.decayed(now)
+	l.mean = mean + shedWeight*(float64(level)-mean)
+	l.learned = now
+}
+
+func (l *shedLevel) decayed(now time.Time) float64 {
+	if l.mean == 0 {
+		return 0
+	}
+	age := now.Sub(l.learned)
+	return l.mean * math.Exp2(-float64(age)/float64(shedHalfLife))
+}
+
+func (s *Shedder) level(r *resolver.Route) *shedLevel {
+	key := shedKey{r.Prefix, r.Service}
+	s.mu.RLock()
+	l := s.levels[key]
+	s.mu.RUnlock()
+	if l != nil {
+		return l
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.levels[key] == nil {
+		s.levels[key] = &shedLevel{}
+	}
+	return s.levels[key]
+}
--- /dev/null
+++ b/forwarder/watch.go
@@ -0,0 +1,140 @@
+package forwarder
+
+import (
+	"context"
+	"net/http/httptrace"
+	"time"
+
+	"quetzalhub/balancer"
+	"quetzalhub/fencer"
+	"quetzalhub/refuser"
+	"quetzalhub/schema"
+)
+
+const (
+	// checkTimeout bounds one question about an attempt.
+	checkTimeout = 500 * time.Millisecond
+	// silentChecks is the number of checks without an answer after which an
+	// attempt is given up.
+	silentChecks = 3
+	// verdictLimit is the largest age of an attempt at which an answer about
+	// it counts; receivers remember longer.
+	verdictLimit = fencer.Retention - 10*time.Second
+)
+
+// attemptWatch checks an attempt while its answer is awaited.
+type attemptWatch struct {
+	dispatcher *Dispatcher
+	cancel     context.CancelFunc
+	attempt    *attempt
+	timer      *time.Timer
+	ctx        context.Context
+	verdict    chan schema.Progress
+	silent     int
+	ended      int
+}
+
+// watch starts to check an attempt once the patience has passed.
+func (d *Dispatcher) watch(ctx context.Context, cancel context.CancelFunc, a *attempt) *attemptWatch {
+	w := &attemptWatch{dispatcher: d, cancel: cancel, attempt: a, ctx: ctx, verdict: make(chan schema.Progress, 1)}
+	w.timer = time.AfterFunc(d.patience, w.run)
+	return w
+}
+
+// run checks once, and again later while the attempt is under way.
+func (w *attemptWatch) run() {
+	progress := w.dispatcher.check(w.ctx, w.attempt)
+	if w.ctx.Err() != nil {
+		return
+	}
+	if w.goesOn(progress) {
+		w.timer.Reset(w.dispatcher.patience)
+		return
+	}
+	select {
+	case w.verdict <- progress:
+	default:
+	}
+	w.cancel()
+}
+
+// goesOn tells whether to wait on after a check.
+func (w *attemptWatch) goesOn(progress schema.Progress) bool {
+	switch progress {
+	case schema.Progress_PROGRESS_RUNNING:
+		w.silent = 0
+		return true
+	case schema.Progress_PROGRESS_DONE:
+		// The answer is on its way, or lost if it is still so next time.
+		w.ended++
+		return w.ended < 2
+	case schema.Progress_PROGRESS_FENCED:
+		return false
+	default:
+		w.silent++
+		return w.silent < silentChecks
+	}
+}
+
+// stop ends the watch and returns its verdict, if it came to one.
+func (w *attemptWatch) stop() schema.Progress {
+	w.timer.Stop()
+	select {
+	case p := <-w.verdict:
+		return p
+	default:
+		return schema.Progress_PROGRESS_UNSPECIFIED
+	}
+}
+
+// check asks the receiver of an attempt about it.
+func (d *Dispatcher) check(ctx context.Context, a *attempt) schema.Progress {
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	req := &schema.CheckRequest{Attempt: a.id, Incarnation: a.target.Member.GetIncarnation()}
+	progress, err := d.checker.Check(ctx, a.target.Member.GetAddress(), req)
+	if err != nil || time.Since(a.sent) > verdictLimit {
+		return schema.Progress_PROGRESS_UNKNOWN
+	}
+	return progress
+}
+
+// failed returns the refusal for an attempt whose connection gave no answer.
+func (d *Dispatcher) failed(ctx context.Context, a *attempt, verdict schema.Progress) error {
+	parent := a.call.Parent
+	late := timeLeft(parent.Deadline) == 0
+	result := balancer.Unreachable
+	if late {
+		result = balancer.Refused
+	}
+	a.target.Done(result, time.Since(a.sent))
+	if !a.connected.Load() {
+		parent.Budget.Restore(a.delegated)
+		if late {
+			return &refuser.Error{Code: refuser.DeadlineBeforeRun}
+		}
+		return &refuser.Error{Code: refuser.PeerUnreachable}
+	}
+	if verdict == schema.Progress_PROGRESS_UNSPECIFIED {
+		// The attempt's context may have ended; the question is asked all the same.
+		verdict = d.check(context.WithoutCancel(ctx), a)
+	}
+	if verdict == schema.Progress_PROGRESS_FENCED {
+		parent.Budget.Restore(a.delegated)
+		if late {
+			return &refuser.Error{Code: refuser.DeadlineBeforeRun}
+		}
+		return &refuser.Error{Code: refuser.AttemptFenced}
+	}
+	if late {
+		return &refuser.Error{Code: refuser.DeadlinePassed}
+	}
+	return &refuser.Error{Code: refuser.ConnectionLost}
+}
+
+// trace records whether an attempt got a connection.
+func (a *attempt) trace(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { a.connected.Store(true) },
+	})
+}
--- /dev/null
+++ b/guard/guard.go
@@ -0,0 +1,182 @@
+// Package guard protects the upstream on the same host from more work than it
+// can do.
+//
+// A guard limits the number of requests at the upstream by what it measures
+// itself, queues the others for a short time, and sheds by priority. It takes
+// nothing on trust that the upstream says of its capacity.
+//
+// Priorities are class first, then the rank drawn for the whole request at its
+// entry, so that all nodes shed the same requests. A guard admits priorities
+// from its level upwards and moves the level by the queueing delay that it
+// sees. The level travels back with each answer; nodes at the entry refuse
+// requests that would be shed below.
+//
+// # Usage
+//
+//	g := guard.New(guard.Start(8), guard.Delay(20*time.Millisecond))
+//	pass, err := g.Enter(ctx, guard.Request{Class: class, Rank: rank, Workspace: name})
+//	if err != nil { ... }
+//	defer pass.Leave(true)
+package guard
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"quetzalhub/refuser"
+	"quetzalhub/schema"
+)
+
+// RankLimit is the number of ranks within a class.
+const RankLimit = 64
+
+// levels is the number of priorities.
+const levels = (int(schema.Class_CLASS_CRITICAL) + 1) * RankLimit
+
+// Request describes a request to the guard.
+type Request struct {
+	Class     schema.Class
+	Rank      uint32
+	Workspace string
+}
+
+// Priority returns the place of a request among all, higher ones being shed
+// later.
+func Priority(class schema.Class, rank uint32) uint32 {
+	return uint32(class)*RankLimit + min(rank, RankLimit-1)
+}
+
+// Guard protects one upstream.
+type Guard struct {
+	options Options
+
+	mu      sync.Mutex
+	limiter concurrency
+	active  int
+	queue   queue
+	level   level
+}
+
+// New returns a guard.
+func New(opts ...Option) *Guard {
+	o := newOptions(opts...)
+	g := &Guard{options: o, limiter: newConcurrency(o), queue: newQueue()}
+	g.level = newLevel(o, time.Now())
+	return g
+}
+
+// Pass is the right of one request to be at the upstream.
+type Pass struct {
+	guard   *Guard
+	entered time.Time
+	below   time.Duration
+}
+
+// Enter waits for the right to run a request at the upstream. It returns a
+// *refuser.Error with code ShedAtGuard or DeadlineBeforeRun; the request has
+// then not run.
+func (g *Guard) Enter(ctx context.Context, r Request) (*Pass, error) {
+	now := time.Now()
+	priority := Priority(r.Class, r.Rank)
+	g.mu.Lock()
+	g.level.adjust(now, g.active, g.limiter.limit(), g.queue.length)
+	if !g.level.admits(priority) {
+		g.mu.Unlock()
+		return nil, &refuser.Error{Code: refuser.ShedAtGuard}
+	}
+	if g.active < g.limiter.limit() && g.queue.length == 0 {
+		g.active++
+		g.level.delayed(0)
+		g.mu.Unlock()
+		return &Pass{guard: g, entered: now}, nil
+	}
+	w := &waiter{request: r, priority: priority, queued: now, done: make(chan bool, 1)}
+	evicted := g.queue.push(w, g.queueLimit())
+	g.mu.Unlock()
+	if evicted != nil {
+		evicted.done <- false
+	}
+	return g.await(ctx, w)
+}
+
+// queueLimit returns the number of requests that may wait.
+func (g *Guard) queueLimit() int {
+	return max(minQueue, queueRatio*g.limiter.limit())
+}
+
+func (g *Guard) await(ctx context.Context, w *waiter) (*Pass, error) {
+	timer := time.NewTimer(g.options.Patience)
+	defer timer.Stop()
+	code := refuser.ShedAtGuard
+	select {
+	case admitted := <-w.done:
+		return g.outcome(admitted)
+	case <-ctx.Done():
+		code = refuser.DeadlineBeforeRun
+	case <-timer.C:
+	}
+	g.mu.Lock()
+	removed := g.queue.remove(w)
+	if removed {
+		g.level.delayed(g.options.Patience)
+	}
+	g.mu.Unlock()
+	if removed {
+		return nil, &refuser.Error{Code: code}
+	}
+	return g.outcome(<-w.done)
+}
+
+func (g *Guard) outcome(admitted bool) (*Pass, error) {
+	if !admitted {
+		return nil, &refuser.Error{Code: refuser.ShedAtGuard}
+	}
+	return &Pass{guard: g, entered: time.Now()}, nil
+}
+
+// Exclude takes the time that the request spent in calls to other services out
+// of its measured time.
+func (p *Pass) Exclude(d time.Duration) { p.below += d }
+
+// Leave ends the right; ok is false if the upstream failed the request.
+func (p *Pass) Leave(ok bool) {
+	g := p.guard
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limiter.sample(now, now.Sub(p.entered)-p.below, g.active, ok)
+	g.active--
+	for g.active < g.limiter.limit() {
+		w := g.queue.pop()
+		if w == nil {
+			return
+		}
+		g.active++
+		g.level.delayed(now.Sub(w.queued))
+		w.done <- true
+	}
+}
+
+// Level returns the lowest priority admitted.
+func (g *Guard) Level() uint32 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.level.adjust(time.Now(), g.active, g.limiter.limit(), g.queue.length)
+	return g.level.lowest
+}
+
+// Status describes a guard to operators.
+type Status struct {
+	Limit  int
+	Active int
+	Queued int
+	Level  uint32
+}
+
+// Status returns the present numbers.
+func (g *Guard) Status() Status {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Status{g.limiter.limit(), g.active, g.queue.length, g.level.lowest}
+}
--- /dev/null
+++ b/lender/book.go
@@ -0,0 +1,224 @@
+package lender
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"quetzalhub/limiter"
+	"quetzalhub/resolver"
+	"quetzalhub/schema"
+)
+
+const (
+	// lendableRate is the share of a rate that is lent; the rest serves single
+	// tokens to nodes without a loan.
+	lendableRate = 0.95
+	// lendableBurst is the share of a burst that is lent.
+	lendableBurst = 0.8
+	// headroom is the ratio of a loan to the reported demand while the rate
+	// suffices for all.
+	headroom = 1.25
+	// calmRefresh is the time between reports of steady demand.
+	calmRefresh = 10 * time.Second
+	// tightRefresh is the time between reports while demand exceeds the rate
+	// or tokens are on their way.
+	tightRefresh = 500 * time.Millisecond
+	// reportSpacing is the mean time between two reports on one workspace.
+	reportSpacing = 20 * time.Millisecond
+)
+
+// entry is what the holder knows of one borrower.
+type entry struct {
+	demand float64
+	// rate and limit are the largest amounts that the borrower may hold.
+	rate  float64
+	limit float64
+	// flight is the number of tokens sent beyond the limit since the last report.
+	flight float64
+}
+
+// book is the division of one workspace's rate and burst.
+type book struct {
+	limit   resolver.Limit
+	entries map[borrowerID]*entry
+	// pool holds the tokens that the holder keeps.
+	pool limiter.Bucket
+}
+
+// book returns the book of a workspace, adapted to its configured limit.
+func (s *shard) book(workspace string, limit resolver.Limit, now time.Time) *book {
+	b := s.books[workspace]
+	if b == nil {
+		b = &book{entries: map[borrowerID]*entry{}}
+		b.pool = limiter.Bucket{Rate: limit.Rate, Cap: limit.Burst, Updated: now}
+		if s.pristine {
+			b.pool.Tokens = limit.Burst
+		}
+		s.books[workspace] = b
+	}
+	b.limit = limit
+	b.settle(now)
+	return b
+}
+
+// settle sets the pool to what is not lent.
+func (b *book) settle(now time.Time) {
+	rate, burst := b.limit.Rate, b.limit.Burst
+	for _, e := range b.entries {
+		rate -= e.rate
+		burst -= e.limit + e.flight
+	}
+	b.pool.Resize(now, rate, burst)
+}
+
+// lend records a demand and returns the new loan.
+func (b *book) lend(id borrowerID, d *schema.Demand, now time.Time) *schema.Loan {
+	e := b.entries[id]
+	if e == nil {
+		e = &entry{}
+		b.entries[id] = e
+	}
+	*e = entry{demand: d.GetRate(), rate: d.GetHeld(), limit: d.GetCap()}
+	b.settle(now)
+	loan := &schema.Loan{Workspace: d.GetWorkspace()}
+	loan.Rate = b.resizeRate(e)
+	loan.Cap, loan.Tokens = b.resizeLimit(e, now)
+	b.settle(now)
+	loan.Tokens += b.sendTokens(e, d.GetTokens()-loan.Tokens)
+	loan.Refresh = durationpb.New(b.refresh(e))
+	if e.demand == 0 && e.rate == 0 && e.limit == 0 && e.flight == 0 {
+		delete(b.entries, id)
+	}
+	return loan
+}
+
+// resizeRate returns the rate that the borrower may hold from now on.
+func (b *book) resizeRate(e *entry) float64 {
+	target := b.fairRate(e.demand)
+	if target > e.rate {
+		target = min(target, e.rate+b.pool.Rate)
+		e.rate = target
+	}
+	return target
+}
+
+// fairRate returns the part of the rate due to a demand: with headroom if the
+// rate suffices for all, else by max-min fairness.
+func (b *book) fairRate(demand float64) float64 {
+	lendable := lendableRate * b.limit.Rate
+	if headroom*b.demand() <= lendable {
+		return headroom * demand
+	}
+	return min(demand, b.level(lendable))
+}
+
+// level returns the largest rate given to any borrower if the sum of the
+// demands, each cut at that level, is to equal the lendable rate.
+func (b *book) level(lendable float64) float64 {
+	demands := make([]float64, 0, len(b.entries))
+	for _, e := range b.entries {
+		demands = append(demands, e.demand)
+	}
+	slices.Sort(demands)
+	for i, d := range demands {
+		share := lendable / float64(len(demands)-i)
+		if d >= share {
+			return share
+		}
+		lendable -= d
+	}
+	return lendable + b.demand()
+}
+
+// resizeLimit returns the burst that the borrower may hold from now on, and
+// the tokens that come with a larger one.
+func (b *book) resizeLimit(e *entry, now time.Time) (limit, tokens float64) {
+	demand := b.demand()
+	if demand <= 0 {
+		return 0, 0
+	}
+	target := lendableBurst * b.limit.Burst * e.demand / demand
+	if target <= e.limit {
+		return target, 0
+	}
+	target = min(target, e.limit+b.pool.Cap)
+	raise := target - e.limit
+	if b.pool.Cap > 0 {
+		tokens = b.pool.Tokens * raise / b.pool.Cap
+	}
+	b.pool.Tokens -= tokens
+	e.limit = target
+	b.settle(now)
+	return target, tokens
+}
+
+// sendTokens takes tokens from the pool for requests that wait at the
+// borrower. They count against the burst until the next report.
+func (b *book) sendTokens(e *entry, wanted float64) float64 {
+	sent := min(wanted, float64(int(b.pool.Tokens)))
+	if sent <= 0 {
+		return 0
+	}
+	b.pool.Tokens -= sent
+	b.pool.Cap -= sent
+	e.flight += sent
+	return sent
+}
+
+// demand returns the sum of the reported demands.
+func (b *book) demand() float64 {
+	sum := 0.0
+	for _, e := range b.entries {
+		sum += e.demand
+	}
+	return sum
+}
+
+// refresh returns the time until the borrower reports again. It grows with the
+// number of borrowers, so that the cost for the holder does not.
+func (b *book) refresh(e *entry) time.Duration {
+	spaced := time.Duration(len(b.entries)) * reportSpacing
+	tight := headroom*b.demand() > lendableRate*b.limit.Rate
+	if e.flight > 0 || tight {
+		return max(tightRefresh, spaced)
+	}
+	return max(calmRefresh, spaced)
+}
+
+// export returns the books in the form handed to the next holder.
+func (s *shard) export(now time.Time) []*schema.Book {
+	var books []*schema.Book
+	for workspace, b := range s.books {
+		b.settle(now)
+		exported := &schema.Book{Workspace: workspace, Tokens: b.pool.Tokens}
+		for id, e := range b.entries {
+			exported.Entries = append(exported.Entries, &schema.Entry{
+				Borrower:    id.name,
+				Incarnation: id.incarnation,
+				Number:      s.numbers[id],
+				Demand:      e.demand,
+				Rate:        e.rate,
+				Cap:         e.limit,
+				Flight:      e.flight,
+			})
+		}
+		books = append(books, exported)
+	}
+	return books
+}
+
+// restore takes over books received from the holder before.
+func (s *shard) restore(books []*schema.Book, now time.Time) {
+	for _, received := range books {
+		b := &book{entries: map[borrowerID]*entry{}}
+		b.pool = limiter.Bucket{Tokens: received.GetTokens(), Updated: now}
+		for _, e := range received.GetEntries() {
+			id := borrowerID{e.GetBorrower(), e.GetIncarnation()}
+			b.entries[id] = &entry{e.GetDemand(), e.GetRate(), e.GetCap(), e.GetFlight()}
+			s.numbers[id] = max(s.numbers[id], e.GetNumber())
+		}
+		s.books[received.GetWorkspace()] = b
+	}
+}
--- /dev/null
+++ b/limiter/account.go
@@ -0,0 +1,262 @@
+package limiter
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"quetzalhub/resolver"
+	"quetzalhub/schema"
+)
+
+// waiter is a request that waits for a token.
+type waiter struct {
+	done    chan struct{}
+	granted bool
+}
+
+// account is the loan of one workspace at this node.
+type account struct {
+	workspace string
+	patience  time.Duration
+
+	mu     sync.Mutex
+	bucket Bucket
+	limit  resolver.Limit
+	// term is the term of the shard under which the loan was made.
+	term uint64
+	// until ends the use of a loan whose term is over.
+	until   time.Time
+	waiters []*waiter
+	// voided is true if the loan was given up after the last report.
+	voided bool
+	// dry is true if the holder had no tokens left at the last report.
+	dry bool
+
+	arrivals int
+	demand   float64
+	measured time.Time
+	reported float64
+	told     time.Time
+	refresh  time.Duration
+}
+
+func newAccount(workspace string, limit resolver.Limit, patience time.Duration) *account {
+	return &account{workspace: workspace, limit: limit, patience: patience, measured: time.Now()}
+}
+
+// take returns a granted waiter, one to wait for, or none and the time after
+// which a token may be there.
+func (a *account) take(now time.Time, c Confirmer) (*waiter, time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.arrivals++
+	if len(a.waiters) == 0 && a.usable(now, c) && a.bucket.Take(now) {
+		return &waiter{granted: true}, 0
+	}
+	if len(a.waiters) >= maxWaiters {
+		return nil, a.soonest()
+	}
+	own, ok := a.bucket.Wait(float64(len(a.waiters) + 1))
+	if a.dry && (!ok || own > a.patience) {
+		return nil, a.soonest()
+	}
+	w := &waiter{done: make(chan struct{})}
+	a.waiters = append(a.waiters, w)
+	return w, 0
+}
+
+// usable tells whether tokens may be spent; the caller holds the lock.
+func (a *account) usable(now time.Time, c Confirmer) bool {
+	if termOf(c.Snapshot(), a.workspace) != a.term {
+		return now.Before(a.until)
+	}
+	return c.Fresh()
+}
+
+// soonest returns the time in which the fleet earns one token.
+func (a *account) soonest() time.Duration {
+	if a.limit.Rate <= 0 {
+		return time.Minute
+	}
+	return max(time.Duration(float64(time.Second)/a.limit.Rate), time.Second)
+}
+
+func (a *account) wait() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.soonest()
+}
+
+// cancel removes a waiter and tells whether it had been granted a token.
+func (a *account) cancel(w *waiter) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if w.granted {
+		return true
+	}
+	for i, other := range a.waiters {
+		if other == w {
+			a.waiters = append(a.waiters[:i], a.waiters[i+1:]...)
+			break
+		}
+	}
+	return false
+}
+
+// serve hands tokens to waiters; the caller holds the lock.
+func (a *account) serve(now time.Time, c Confirmer) {
+	for len(a.waiters) > 0 && a.usable(now, c) && a.bucket.Take(now) {
+		a.release()
+	}
+}
+
+// release grants the first waiter; the caller holds the lock.
+func (a *account) release() {
+	w := a.waiters[0]
+	a.waiters = a.waiters[1:]
+	w.granted = true
+	close(w.done)
+}
+
+// measure updates the estimate of demand and serves waiters.
+func (a *account) measure(now time.Time, c Confirmer) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.serve(now, c)
+	elapsed := now.Sub(a.measured)
+	if elapsed < tick {
+		return
+	}
+	rate := float64(a.arrivals) / elapsed.Seconds()
+	weight := 1 - math.Exp(-float64(elapsed)/float64(smoothing))
+	a.demand += weight * (rate - a.demand)
+	if a.demand < minDrift/10 {
+		a.demand = 0
+	}
+	a.arrivals = 0
+	a.measured = now
+}
+
+// due tells whether the account should be reported to the holder, and whether
+// that can't wait.
+func (a *account) due(now time.Time) (due, urgent bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.waiters) > 0 {
+		return true, true
+	}
+	since := now.Sub(a.told)
+	if since < reportPause {
+		return false, false
+	}
+	idle := a.demand == 0 && a.reported == 0 && a.bucket.Cap == 0
+	if idle {
+		return false, false
+	}
+	if math.Abs(a.demand-a.reported) > max(minDrift, drift*a.reported) {
+		return true, false
+	}
+	return since >= a.refresh, false
+}
+
+// report describes the account to the holder of the given term.
+func (a *account) report(now time.Time, term uint64) *schema.Demand {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.told = now
+	a.voided = false
+	a.reported = a.demand
+	d := &schema.Demand{Workspace: a.workspace, Rate: a.demand, Tokens: float64(len(a.waiters))}
+	if a.term == term {
+		d.Held = a.bucket.Rate
+		d.Cap = a.bucket.Cap
+	}
+	return d
+}
+
+// apply takes over a loan made under a term. Tokens go to waiters first, since
+// the loan may be too small to hold them.
+func (a *account) apply(loan *schema.Loan, term uint64, current bool, c Confirmer) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.voided {
+		return
+	}
+	now := time.Now()
+	rate, limit := loan.GetRate(), loan.GetCap()
+	if !current {
+		// The holder has not seen the present state, which may lend less.
+		rate = min(rate, a.bucket.Rate)
+		limit = min(limit, a.bucket.Cap)
+	}
+	if a.term != term {
+		a.bucket = Bucket{Updated: now}
+		a.term = term
+	}
+	lowered := rate < a.bucket.Rate || limit < a.bucket.Cap
+	a.bucket.Resize(now, rate, limit)
+	tokens := loan.GetTokens()
+	for tokens >= 1 && len(a.waiters) > 0 && a.usable(now, c) {
+		a.release()
+		tokens--
+	}
+	a.bucket.Tokens = min(a.bucket.Cap, a.bucket.Tokens+tokens)
+	a.serve(now, c)
+	a.refresh = loan.GetRefresh().AsDuration()
+	if lowered {
+		// Frees at the holder what is no longer held here.
+		a.refresh = reportPause
+	}
+	a.dry = loan.GetTokens() < 1
+}
+
+// adapt scales the loan down at once if the workspace's limit was lowered.
+func (a *account) adapt(limit resolver.Limit) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if limit == a.limit {
+		return
+	}
+	rate, burst := a.bucket.Rate, a.bucket.Cap
+	if limit.Rate < a.limit.Rate {
+		rate *= limit.Rate / a.limit.Rate
+	}
+	if limit.Burst < a.limit.Burst {
+		burst *= limit.Burst / a.limit.Burst
+	}
+	a.bucket.Resize(time.Now(), rate, burst)
+	a.limit = limit
+	a.refresh = 0
+}
+
+// supersede ends the use of the loan at a time, since its term is over. If the
+// next holder took over the books, the loan goes on under the new term.
+func (a *account) supersede(ended uint64, next *schema.Shard, until time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.term == ended {
+		a.until = until
+	}
+	if a.term == ended && next.GetCarried() && next.GetTerm() == ended+1 {
+		a.term = next.GetTerm()
+	}
+	a.refresh = 0
+	a.reported = 0
+}
+
+// void gives the loan up.
+func (a *account) void() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.voided = true
+	a.bucket.Resize(time.Now(), 0, 0)
+}
+
+// retire makes the account report that it wants nothing.
+func (a *account) retire() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.demand = 0
+	a.waiters = nil
+}
--- /dev/null
+++ b/refuser/code.go
@@ -0,0 +1,125 @@
+package refuser
+
+import (
+	"net/http"
+
+	"quetzalhub/schema"
+)
+
+// Code numbers a reason for which a request was not answered by an upstream.
+// Codes are part of the public interface and never change their meaning.
+type Code uint32
+
+// Codes of refusals at the node that a caller talks to.
+const (
+	None          Code = 0
+	KeyMissing    Code = 1001
+	KeyUnknown    Code = 1002
+	KeyWithdrawn  Code = 1003
+	RouteUnknown  Code = 1004
+	RateExceeded  Code = 1005
+	StateStale    Code = 1006
+	ShedAtEntry   Code = 1007
+	BodyTooLarge  Code = 1008
+	BadRequest    Code = 1009
+	StateMissing  Code = 1010
+	KeyReused     Code = 1011
+	ResendPending Code = 1012
+)
+
+// Codes of refusals between nodes.
+const (
+	EndpointMissing    Code = 2001
+	ShedAtGuard        Code = 2002
+	DeadlineBeforeRun  Code = 2003
+	Draining           Code = 2004
+	IncarnationChanged Code = 2005
+	AttemptFenced      Code = 2006
+	PeerUnreachable    Code = 2007
+	UpstreamRefused    Code = 2008
+)
+
+// Codes of requests that may have run.
+const (
+	ConnectionLost  Code = 3001
+	DeadlinePassed  Code = 3002
+	UpstreamLost    Code = 3003
+	CallerGone      Code = 3004
+	ResendUnknown   Code = 3005
+	ReceiverUnclear Code = 3006
+)
+
+// Codes of refused calls made by upstreams.
+const (
+	TicketMissing Code = 4001
+	TicketUnknown Code = 4002
+)
+
+// Meaning describes a code.
+type Meaning struct {
+	// Name is the short form used for counters.
+	Name string
+	// Title is the sentence shown to callers.
+	Title string
+	// Status is the HTTP status sent with the code.
+	Status int
+	// Outcome tells whether the request ran.
+	Outcome schema.Outcome
+}
+
+const (
+	notRun  = schema.Outcome_OUTCOME_NOT_RUN
+	unknown = schema.Outcome_OUTCOME_UNKNOWN
+)
+
+var meanings = map[Code]Meaning{
+	KeyMissing:    {"key_missing", "The request carries no key.", http.StatusUnauthorized, notRun},
+	KeyUnknown:    {"key_unknown", "The key belongs to no workspace.", http.StatusUnauthorized, notRun},
+	KeyWithdrawn:  {"key_withdrawn", "The key was withdrawn.", http.StatusUnauthorized, notRun},
+	RouteUnknown:  {"route_unknown", "No route matches the request.", http.StatusNotFound, notRun},
+	RateExceeded:  {"rate_exceeded", "The workspace has used its rate and burst.", http.StatusTooManyRequests, notRun},
+	StateStale:    {"state_stale", "The node is cut off and cannot confirm its configuration.", http.StatusServiceUnavailable, notRun},
+	ShedAtEntry:   {"shed_at_entry", "The service is overloaded; the request was shed before it began.", http.StatusServiceUnavailable, notRun},
+	BodyTooLarge:  {"body_too_large", "The request body is too large.", http.StatusRequestEntityTooLarge, notRun},
+	BadRequest:    {"bad_request", "The request is malformed.", http.StatusBadRequest, notRun},
+	StateMissing:  {"state_missing", "The node has no configuration yet.", http.StatusServiceUnavailable, notRun},
+	KeyReused:     {"idempotency_key_reused", "The idempotency key was used with another request.", http.StatusUnprocessableEntity, notRun},
+	ResendPending: {"resend_pending", "The first request with this idempotency key is still running.", http.StatusConflict, unknown},
+
+	EndpointMissing:    {"endpoint_missing", "No upstream of the service is announced.", http.StatusServiceUnavailable, notRun},
+	ShedAtGuard:        {"shed_at_guard", "The upstream is overloaded; the request did not begin.", http.StatusServiceUnavailable, notRun},
+	DeadlineBeforeRun:  {"deadline_before_run", "The deadline passed before the request began.", http.StatusGatewayTimeout, notRun},
+	Draining:           {"draining", "The upstream is leaving.", http.StatusServiceUnavailable, notRun},
+	IncarnationChanged: {"incarnation_changed", "The attempt was meant for an earlier start of the node.", http.StatusServiceUnavailable, notRun},
+	AttemptFenced:      {"attempt_fenced", "The attempt was given up before it began.", http.StatusServiceUnavailable, notRun},
+	PeerUnreachable:    {"peer_unreachable", "No node of the service could be reached.", http.StatusServiceUnavailable, notRun},
+	UpstreamRefused:    {"upstream_refused", "The upstream accepted no connection.", http.StatusServiceUnavailable, notRun},
+
+	ConnectionLost:  {"connection_lost", "The connection was lost after the request was sent.", http.StatusBadGateway, unknown},
+	DeadlinePassed:  {"deadline_passed", "The deadline passed while the request was running.", http.StatusGatewayTimeout, unknown},
+	UpstreamLost:    {"upstream_lost", "The upstream closed its connection without a whole answer.", http.StatusBadGateway, unknown},
+	CallerGone:      {"caller_gone", "The caller gave up while the request was running.", 499, unknown},
+	ResendUnknown:   {"resend_unknown", "The node cannot tell what became of the first request with this idempotency key.", http.StatusBadGateway, unknown},
+	ReceiverUnclear: {"receiver_unclear", "The node beside the upstream cannot tell whether the request ran.", http.StatusBadGateway, unknown},
+
+	TicketMissing: {"ticket_missing", "The call names no active request.", http.StatusBadRequest, notRun},
+	TicketUnknown: {"ticket_unknown", "The named request is no longer active.", http.StatusConflict, notRun},
+}
+
+// Meaning returns the description of the code.
+func (c Code) Meaning() Meaning {
+	m, ok := meanings[c]
+	if !ok {
+		return Meaning{"unlisted", "The request failed.", http.StatusBadGateway, unknown}
+	}
+	return m
+}
+
+// Codes returns the descriptions of all codes.
+func Codes() map[Code]Meaning {
+	all := make(map[Code]Meaning, len(meanings))
+	for c, m := range meanings {
+		all[c] = m
+	}
+	return all
+}
--- /dev/null
+++ b/refuser/refuser.go
@@ -0,0 +1,120 @@
+// Package refuser writes refusals as RFC 9457 problem documents and counts
+// them by result code.
+//
+// # Usage
+//
+//	r := refuser.New(counters)
+//	r.Refuse(w, refuser.RateExceeded, refuser.Detail{Request: id, Retry: time.Second})
+//
+// Every document names the numbered result code and whether the request ran:
+// "not run", "answered" or "unknown". A caller may safely send a request again
+// only if it did not run, or if its route is idempotent.
+package refuser
+
+import (
+	"encoding/json"
+	"errors"
+	"expvar"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"quetzalhub/schema"
+)
+
+// ContentType is the media type of problem documents.
+const ContentType = "application/problem+json"
+
+// Detail completes a refusal.
+type Detail struct {
+	// Request identifies the refused request.
+	Request string
+	// Note explains the case at hand.
+	Note string
+	// Retry is the time after which another try may succeed; zero if unknown.
+	Retry time.Duration
+}
+
+// Problem is the document sent to a caller.
+type Problem struct {
+	Type    string `json:"type"`
+	Title   string `json:"title"`
+	Status  int    `json:"status"`
+	Detail  string `json:"detail,omitempty"`
+	Code    Code   `json:"code"`
+	Outcome string `json:"outcome"`
+	Request string `json:"request,omitempty"`
+}
+
+// Error is a refusal on its way to the handler that writes it.
+type Error struct {
+	Code   Code
+	Detail Detail
+}
+
+// Error returns the title of the code and the note.
+func (e *Error) Error() string {
+	title := e.Code.Meaning().Title
+	if e.Detail.Note == "" {
+		return title
+	}
+	return title + " " + e.Detail.Note
+}
+
+// Of returns the code carried by an error, or None.
+func Of(err error) Code {
+	var refusal *Error
+	if errors.As(err, &refusal) {
+		return refusal.Code
+	}
+	return None
+}
+
+// Refuser writes and counts refusals.
+type Refuser struct {
+	counts *expvar.Map
+}
+
+// New returns a refuser that counts in the given map, one entry for each code.
+func New(counts *expvar.Map) *Refuser {
+	for _, m := range meanings {
+		counts.Add(m.Name, 0)
+	}
+	return &Refuser{counts: counts}
+}
+
+// Refuse counts the code and writes its problem document.
+func (r *Refuser) Refuse(w http.ResponseWriter, code Code, d Detail) {
+	m := code.Meaning()
+	r.counts.Add(m.Name, 1)
+	h := w.Header()
+	h.Set("Content-Type", ContentType)
+	h.Set("Cache-Control", "no-store")
+	if d.Retry > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(d.Retry.Seconds()))))
+	}
+	w.WriteHeader(m.Status)
+	problem := Problem{
+		Type:    "urn:quetzalhub:code:" + strconv.Itoa(int(code)),
+		Title:   m.Title,
+		Status:  m.Status,
+		Detail:  d.Note,
+		Code:    code,
+		Outcome: OutcomeName(m.Outcome),
+		Request: d.Request,
+	}
+	_ = json.NewEncoder(w).Encode(problem)
+}
+
+// OutcomeName returns the form of an outcome used in documents.
+func OutcomeName(o schema.Outcome) string {
+	switch o {
+	case schema.Outcome_OUTCOME_NOT_RUN:
+		return "not run"
+	case schema.Outcome_OUTCOME_ANSWERED:
+		return "answered"
+	default:
+		return "unknown"
+	}
+}
--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,75 @@
+# Functions that start and stop a small fleet on loopback. Sourced by the demo
+# and by the measurements. BIN is the folder of the programs, RUN a folder for
+# settings and logs.
+
+PIDS=()
+PLATFORM=127.0.0.1:6100
+
+# start_process LOG COMMAND... runs a program in the background.
+start_process() {
+  local log=$1
+  shift
+  "$@" >"$RUN/$log.out" 2>"$RUN/$log.log" &
+  PIDS+=($!)
+}
+
+# stop_fleet ends what was started here, newest first.
+stop_fleet() {
+  local i
+  for ((i = ${#PIDS[@]} - 1; i >= 0; i--)); do
+    kill "${PIDS[$i]}" 2>/dev/null
+  done
+  wait 2>/dev/null
+  PIDS=()
+}
+
+start_platform() {
+  start_process platform "$BIN/quetzal-standin" platform -listen $PLATFORM
+}
+
+# start_node NUMBER DOMAIN [EXTRA INI LINES] starts node-NUMBER on the ports
+# 10000+10*NUMBER (callers), +1 (peers), +2 (local), +3 (operators).
+start_node() {
+  local number=$1 domain=$2 extra=${3:-}
+  local base=$((10000 + 10 * number))
+  cat >"$RUN/node-$number.ini" <<INI
+[node]
+name = node-$number
+domain = $domain
+callers = 127.0.0.1:$base
+peers = 127.0.0.1:$((base + 1))
+local = 127.0.0.1:$((base + 2))
+admin = 127.0.0.1:$((base + 3))
+policy = ${POLICY:-adaptive}
+[platform]
+address = $PLATFORM
+[gossip]
+secret = a-secret-for-loopback-only
+$extra
+INI
+  start_process "node-$number" "$BIN/quetzald" -settings "$RUN/node-$number.ini"
+}
+
+# start_upstream NUMBER SERVICE [FLAGS...] starts an upstream beside node-NUMBER.
+start_upstream() {
+  local number=$1 service=$2
+  shift 2
+  local base=$((10000 + 10 * number))
+  start_process "upstream-$number" "$BIN/quetzal-standin" upstream \
+    -listen 127.0.0.1:$((base + 5)) -local 127.0.0.1:$((base + 2)) -service "$service" "$@"
+}
+
+ctl() {
+  "$BIN/quetzalctl" -platform $PLATFORM -node 127.0.0.1:10013 "$@"
+}
+
+# await_hosts N waits until node-1 sees N live hosts, at most 20 s.
+await_hosts() {
+  local i
+  for ((i = 0; i < 100; i++)); do
+    [ "$(ctl hosts 2>/dev/null | grep -c ' alive ')" -ge "$1" ] && return 0
+    sleep 0.2
+  done
+  echo "fleet did not form" >&2
+  return 1
+}
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,213 @@
+// Package server assembles a node from its parts and runs it.
+//
+// # Usage
+//
+//	fx.New(fx.Supply(settings), server.Module).Run()
+//
+// A node has four listeners: for callers, for other nodes (TCP for calls, UDP
+// for gossip), for the upstream on the same host, and for operators.
+package server
+
+import (
+	"time"
+
+	"github.com/charmbracelet/log"
+	"go.uber.org/fx"
+
+	"quetzalhub/announcer"
+	"quetzalhub/assigner"
+	"quetzalhub/balancer"
+	"quetzalhub/caller"
+	"quetzalhub/confirmer"
+	"quetzalhub/editor"
+	"quetzalhub/fencer"
+	"quetzalhub/forwarder"
+	"quetzalhub/gossiper"
+	"quetzalhub/gossiper/udp"
+	"quetzalhub/guard"
+	"quetzalhub/lender"
+	"quetzalhub/limiter"
+	"quetzalhub/naive"
+	"quetzalhub/recorder"
+	"quetzalhub/refuser"
+	"quetzalhub/responder"
+	"quetzalhub/schema"
+	"quetzalhub/sealer"
+	"quetzalhub/storer"
+	"quetzalhub/tracker"
+	"quetzalhub/watcher"
+)
+
+// Module provides the parts of a node and starts it. The application supplies
+// *schema.Settings and *log.Logger.
+var Module = fx.Module("node",
+	fx.Provide(
+		recorder.New,
+		fencer.New,
+		newConfirmer,
+		newStore,
+		newSelf,
+		newTransport,
+		newGossiper,
+		newLender,
+		newCaller,
+		newLimiter,
+		newAnnouncer,
+		newWatcher,
+		newResponder,
+		newTraffic,
+		newNode,
+	),
+	fx.Invoke(func(lc fx.Lifecycle, n *Node) {
+		lc.Append(fx.Hook{OnStart: n.Start, OnStop: n.Stop})
+	}),
+)
+
+// policyNaive selects the decisions of package naive.
+const policyNaive = "naive"
+
+func newConfirmer(s *schema.Settings) *confirmer.Confirmer {
+	return confirmer.New(s.GetNode().GetDomain(), s.GetGossip().GetFreshness().AsDuration())
+}
+
+func newStore(s *schema.Settings) storer.Store {
+	return storer.NewHTTP(s.GetPlatform().GetAddress(), s.GetPlatform().GetTimeout().AsDuration())
+}
+
+func newSelf(s *schema.Settings) *schema.Member {
+	return &schema.Member{
+		Name:        s.GetNode().GetName(),
+		Address:     s.GetNode().GetPeers(),
+		Admin:       s.GetNode().GetAdmin(),
+		Domain:      s.GetNode().GetDomain(),
+		Region:      s.GetNode().GetRegion(),
+		Incarnation: uint64(time.Now().UnixMilli()),
+		Sequence:    1,
+		Status:      schema.Status_STATUS_ALIVE,
+	}
+}
+
+func newTransport(s *schema.Settings, r *recorder.Recorder) (*udp.Transport, error) {
+	seal, err := sealer.New(s.GetGossip().GetSecret())
+	if err != nil {
+		return nil, err
+	}
+	return udp.Listen(s.GetNode().GetPeers(), seal, r.Gossip)
+}
+
+func newGossiper(s *schema.Settings, self *schema.Member, t *udp.Transport, c *confirmer.Confirmer, p *caller.Caller) *gossiper.Gossiper {
+	g := gossiper.New(self, t, c, p,
+		gossiper.Interval(s.GetGossip().GetInterval().AsDuration()),
+		gossiper.Suspicion(s.GetGossip().GetSuspicion().AsDuration()),
+	)
+	p.Attach(g)
+	return g
+}
+
+func newLender(s *schema.Settings, i *identity, c *confirmer.Confirmer) *lender.Lender {
+	return lender.New(i, c, s.GetGossip().GetFreshness().AsDuration())
+}
+
+func newCaller(s *schema.Settings, c *confirmer.Confirmer) (*caller.Caller, *identity, *localLender) {
+	local := &localLender{}
+	return caller.New(s.GetNode().GetName(), c, local), &identity{}, local
+}
+
+func newLimiter(i *identity, local *localLender, l *lender.Lender, g *gossiper.Gossiper, c *confirmer.Confirmer, p *caller.Caller) *limiter.Limiter {
+	i.gossiper = g
+	local.lender = l
+	return limiter.New(i, c, p)
+}
+
+func newAnnouncer(s *schema.Settings, g *gossiper.Gossiper) *announcer.Announcer {
+	settings := s.GetGuard()
+	return announcer.New(g, func() forwarder.Gate {
+		if s.GetNode().GetPolicy() == policyNaive {
+			return naive.NewGate(int(settings.GetLimit()))
+		}
+		return guard.New(
+			guard.Start(int(settings.GetStart())),
+			guard.Max(int(settings.GetLimit())),
+			guard.Delay(settings.GetDelay().AsDuration()),
+		)
+	})
+}
+
+func newWatcher(s *schema.Settings, store storer.Store, c *confirmer.Confirmer, g *gossiper.Gossiper, logger *log.Logger) *watcher.Watcher {
+	node := s.GetNode()
+	edit := editor.New(store, "node "+node.GetName())
+	return watcher.New(watcher.Options{
+		Store:     store,
+		Confirmer: c,
+		Fleet:     g,
+		Assigner:  assigner.New(edit, g, node.GetDomain()),
+		Logger:    logger,
+		Name:      node.GetName(),
+		Address:   node.GetPeers(),
+		Domain:    node.GetDomain(),
+		Poll:      s.GetPlatform().GetPoll().AsDuration(),
+	})
+}
+
+func newResponder(c *confirmer.Confirmer, g *gossiper.Gossiper, l *lender.Lender, f *fencer.Fencer) *responder.Responder {
+	return responder.New(responder.Parts{Confirmer: c, Fleet: g, Lender: l, Fencer: f})
+}
+
+// traffic holds the handlers of the request path.
+type traffic struct {
+	entry  *forwarder.Entry
+	relay  *forwarder.Relay
+	egress *forwarder.Egress
+}
+
+// trafficParts are what the handlers are made of.
+type trafficParts struct {
+	fx.In
+
+	Settings  *schema.Settings
+	Recorder  *recorder.Recorder
+	Confirmer *confirmer.Confirmer
+	Gossiper  *gossiper.Gossiper
+	Limiter   *limiter.Limiter
+	Caller    *caller.Caller
+	Announcer *announcer.Announcer
+	Fencer    *fencer.Fencer
+}
+
+func newTraffic(p trafficParts) *traffic {
+	settings := p.Settings.GetTraffic()
+	options := forwarder.DispatcherOptions{
+		Identity:  p.Gossiper,
+		Picker:    balancer.New(p.Gossiper, p.Settings.GetNode().GetRegion()),
+		Throttle:  tracker.NewThrottle(),
+		Checker:   p.Caller,
+		Transport: forwarder.NewTransport(),
+		Patience:  settings.GetCheck().AsDuration(),
+		Retries:   p.Recorder.Retries,
+	}
+	var admitter forwarder.Admitter = p.Limiter
+	if p.Settings.GetNode().GetPolicy() == policyNaive {
+		options.Picker = naive.NewPicker(p.Gossiper)
+		options.Throttle = naive.Throttle{}
+		options.PerCall = naive.Attempts
+		admitter = naive.NewAdmitter(p.Confirmer, p.Gossiper)
+	}
+	body := int64(settings.GetBody())
+	dispatcher := forwarder.NewDispatcher(options)
+	refusals := refuser.New(p.Recorder.Refusals)
+	active := &tracker.Tracker{}
+	entry := forwarder.EntryOptions{Deadline: settings.GetDeadline().AsDuration(), Retries: settings.GetRetries(), Body: body}
+	return &traffic{
+		entry:  forwarder.NewEntry(entry, p.Confirmer, admitter, dispatcher, forwarder.NewShedder(), refusals),
+		egress: forwarder.NewEgress(p.Confirmer, active, dispatcher, refusals, body),
+		relay: forwarder.NewRelay(forwarder.RelayOptions{
+			Identity:  p.Gossiper,
+			Upstreams: p.Announcer,
+			Fencer:    p.Fencer,
+			Tracker:   active,
+			Refuser:   refuser.New(p.Recorder.Calls),
+			Transport: forwarder.NewTransport(),
+			Body:      body,
+		}),
+	}
+}
--- /dev/null
+++ b/watcher/watcher.go
@@ -0,0 +1,351 @@
+// Package watcher keeps a node in touch with the platform.
+//
+// Only a few nodes of each failure domain watch the state on the platform; the
+// others take states and confirmations from them. A watch ends after the poll
+// interval at the latest, so that each watch confirms the state. The first
+// watcher of a domain also writes the domain's heartbeat, which names nodes
+// that newcomers can join, and the assigner's decisions.
+//
+// # Usage
+//
+//	w := watcher.New(parts, options)
+//	go w.Run(ctx)
+package watcher
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"quetzalhub/editor"
+	"quetzalhub/gossiper"
+	"quetzalhub/resolver"
+	"quetzalhub/schema"
+	"quetzalhub/storer"
+	"quetzalhub/util/set"
+)
+
+const (
+	// domainPrefix precedes the name of a domain in the name of its heartbeat.
+	domainPrefix = "domain."
+	// heartbeat is the time between two heartbeats of a domain.
+	heartbeat = 10 * time.Second
+	// silence is the time without heartbeats after which a domain is lost.
+	silence = 35 * time.Second
+	// joinPause is the time between two searches for other nodes.
+	joinPause = 2 * time.Second
+	// seedsKept is the number of addresses in a heartbeat.
+	seedsKept = 8
+)
+
+// Confirmer holds the state.
+type Confirmer interface {
+	Snapshot() *resolver.Snapshot
+	Version() uint64
+	Apply(raw []byte) (bool, error)
+	Confirm(version uint64, at time.Time)
+}
+
+// Fleet knows the other nodes.
+type Fleet interface {
+	View() *gossiper.View
+	Join(addresses []string)
+	Push()
+}
+
+// Assigner writes decisions about the fleet.
+type Assigner interface {
+	Step(ctx context.Context, state *schema.State, place int, lost set.Set[string]) error
+}
+
+// Logger reports what operators act on.
+type Logger interface {
+	Warn(msg any, keyvals ...any)
+	Info(msg any, keyvals ...any)
+}
+
+// Options are the parts and settings of a watcher.
+type Options struct {
+	Store     storer.Store
+	Confirmer Confirmer
+	Fleet     Fleet
+	Assigner  Assigner
+	Logger    Logger
+	Name      string
+	Address   string
+	Domain    string
+	// Poll is the longest wait of one watch.
+	Poll time.Duration
+}
+
+// Watcher keeps a node in touch with the platform.
+type Watcher struct {
+	Options
+	known storer.Version
+	// version is the state's own version at the known version of the object.
+	version uint64
+	beaten  time.Time
+	joined  time.Time
+	down    bool
+	domains map[string]*pulse
+}
+
+// pulse is what is known of another domain's heartbeat.
+type pulse struct {
+	version storer.Version
+	changed time.Time
+	read    time.Time
+}
+
+// New returns a watcher.
+func New(o Options) *Watcher {
+	return &Watcher{Options: o, domains: map[string]*pulse{}}
+}
+
+// Run watches until the context ends.
+func (w *Watcher) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		started := time.Now()
+		w.step(ctx)
+		if pause := w.Poll - time.Since(started); pause > 0 && !w.watched(started) {
+			sleep(ctx, pause)
+		}
+	}
+}
+
+// watched tells whether a step that began at a time ended with a state or a
+// confirmation, so that the next one may follow at once.
+func (w *Watcher) watched(started time.Time) bool {
+	return !w.down && time.Since(started) >= w.Poll/2
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (w *Watcher) step(ctx context.Context) {
+	view := w.Fleet.View()
+	if view.Live() == 1 || w.Confirmer.Snapshot() == nil {
+		w.join(ctx)
+	}
+	rank, watches := view.Watches(w.Name)
+	if !watches {
+		return
+	}
+	if !w.watch(ctx) {
+		return
+	}
+	if rank == 0 && time.Since(w.beaten) >= heartbeat {
+		w.beat(ctx, view)
+	}
+	w.assign(ctx, view, rank)
+}
+
+// watch waits for a new state and tells whether the platform answered.
+func (w *Watcher) watch(ctx context.Context) bool {
+	sent := time.Now()
+	object, err := w.Store.Watch(ctx, editor.Object, w.known, w.Poll)
+	switch {
+	case errors.Is(err, storer.ErrUnchanged):
+		w.confirm(sent)
+	case errors.Is(err, storer.ErrMissing):
+		w.create(ctx)
+	case err != nil:
+		w.reportDown(err)
+		return false
+	default:
+		w.apply(object, sent)
+	}
+	w.reportUp()
+	return true
+}
+
+// confirm takes the platform's word that the object is unchanged, unless other
+// nodes have shown a newer one: the answer is stale then. The platform compared
+// at the end of the wait; its start is the safe bound for the age of the answer.
+func (w *Watcher) confirm(sent time.Time) {
+	if w.version == w.Confirmer.Version() {
+		w.Confirmer.Confirm(w.version, sent)
+	}
+}
+
+func (w *Watcher) apply(object storer.Object, sent time.Time) {
+	state := &schema.State{}
+	if err := proto.Unmarshal(object.Data, state); err != nil {
+		w.Logger.Warn("the state on the platform can't be decoded", "err", err)
+		return
+	}
+	if state.GetVersion() < w.Confirmer.Version() {
+		// A stale read; it neither changes nor confirms anything.
+		return
+	}
+	w.known, w.version = object.Version, state.GetVersion()
+	applied, err := w.Confirmer.Apply(object.Data)
+	if err != nil {
+		w.Logger.Warn("the state on the platform is not valid", "err", err)
+		return
+	}
+	w.Confirmer.Confirm(state.GetVersion(), sent)
+	if applied {
+		w.Fleet.Push()
+	}
+}
+
+// create writes the first state.
+func (w *Watcher) create(ctx context.Context) {
+	data, err := proto.Marshal(&schema.State{Version: 1, Domains: []string{w.Domain}})
+	if err == nil {
+		_, err = w.Store.Write(ctx, editor.Object, data, storer.Absent)
+	}
+	if err != nil && !errors.Is(err, storer.ErrConflict) {
+		w.reportDown(err)
+	}
+}
+
+func (w *Watcher) assign(ctx context.Context, view *gossiper.View, rank int) {
+	snapshot := w.Confirmer.Snapshot()
+	if snapshot == nil {
+		return
+	}
+	place := slices.Index(view.Domains(), w.Domain) + rank*len(view.Domains())
+	err := w.Assigner.Step(ctx, snapshot.State, place, w.lostDomains(ctx, snapshot, view))
+	if err != nil {
+		w.reportDown(err)
+	}
+}
+
+// beat writes the heartbeat of the domain.
+func (w *Watcher) beat(ctx context.Context, view *gossiper.View) {
+	w.beaten = time.Now()
+	seeds := &schema.Seeds{}
+	for _, m := range view.Members {
+		if m.GetDomain() == w.Domain && gossiper.Live(m) && len(seeds.Addresses) < seedsKept {
+			seeds.Addresses = append(seeds.Addresses, m.GetAddress())
+		}
+	}
+	if err := w.writeSeeds(ctx, seeds); err != nil {
+		w.reportDown(err)
+	}
+}
+
+func (w *Watcher) writeSeeds(ctx context.Context, seeds *schema.Seeds) error {
+	name := domainPrefix + w.Domain
+	object, err := w.Store.Read(ctx, name)
+	if err != nil && !errors.Is(err, storer.ErrMissing) {
+		return err
+	}
+	data, err := proto.Marshal(seeds)
+	if err != nil {
+		return err
+	}
+	_, err = w.Store.Write(ctx, name, data, object.Version)
+	if errors.Is(err, storer.ErrConflict) {
+		return nil
+	}
+	return err
+}
+
+// join looks for other nodes by the heartbeats of all domains.
+func (w *Watcher) join(ctx context.Context) {
+	if time.Since(w.joined) < joinPause {
+		return
+	}
+	w.joined = time.Now()
+	object, err := w.Store.Read(ctx, editor.Object)
+	if err != nil {
+		return
+	}
+	state := &schema.State{}
+	if proto.Unmarshal(object.Data, state) != nil {
+		return
+	}
+	var found []string
+	for _, domain := range state.GetDomains() {
+		seeds := w.seeds(ctx, domain)
+		found = append(found, seeds...)
+		if domain == w.Domain && !slices.Contains(seeds, w.Address) {
+			w.addSeed(ctx, seeds)
+		}
+	}
+	w.Fleet.Join(found)
+}
+
+// addSeed adds this node to the heartbeat of its domain, for other newcomers.
+func (w *Watcher) addSeed(ctx context.Context, seeds []string) {
+	if len(seeds) >= seedsKept {
+		seeds = seeds[1:]
+	}
+	_ = w.writeSeeds(ctx, &schema.Seeds{Addresses: append(slices.Clone(seeds), w.Address)})
+}
+
+func (w *Watcher) seeds(ctx context.Context, domain string) []string {
+	object, err := w.Store.Read(ctx, domainPrefix+domain)
+	if err != nil {
+		return nil
+	}
+	seeds := &schema.Seeds{}
+	if proto.Unmarshal(object.Data, seeds) != nil {
+		return nil
+	}
+	return seeds.GetAddresses()
+}
+
+// lostDomains returns the domains that are not heard from and whose heartbeat
+// has stopped.
+func (w *Watcher) lostDomains(ctx context.Context, snapshot *resolver.Snapshot, view *gossiper.View) set.Set[string] {
+	lost := set.Of[string]()
+	heard := set.Of(view.Domains()...)
+	for _, domain := range snapshot.State.GetDomains() {
+		if heard.Has(domain) {
+			delete(w.domains, domain)
+			continue
+		}
+		if w.silent(ctx, domain) {
+			lost.Add(domain)
+		}
+	}
+	return lost
+}
+
+// silent reads the heartbeat of a domain and tells whether it has stopped.
+func (w *Watcher) silent(ctx context.Context, domain string) bool {
+	now := time.Now()
+	p := w.domains[domain]
+	if p == nil {
+		p = &pulse{changed: now}
+		w.domains[domain] = p
+	}
+	if now.Sub(p.read) >= heartbeat/2 {
+		p.read = now
+		object, err := w.Store.Read(ctx, domainPrefix+domain)
+		if err != nil && !errors.Is(err, storer.ErrMissing) {
+			// Without the platform nothing is known; the wait starts again.
+			p.changed = now
+			return false
+		}
+		if object.Version != p.version {
+			p.version, p.changed = object.Version, now
+		}
+	}
+	return now.Sub(p.changed) > silence
+}
+
+func (w *Watcher) reportDown(err error) {
+	if !w.down {
+		w.Logger.Warn("the platform does not answer", "err", err)
+	}
+	w.down = true
+}
+
+func (w *Watcher) reportUp() {
+	if w.down {
+		w.Logger.Info("the platform answers again")
+	}
+	w.down = false
+}
