Lend rates by demand, with the pool kept at the holder

Cause: the holder lent four fifths of a burst to the first host that asked and heard from it again only after ten seconds, so hosts that came later starved beside idle tokens; demand estimates fell with a fixed time constant of 500 ms.

Changed: a lent burst covers 100 ms of demand, the rest stays in the pool and comes by request; near the limit a loan is 0.85 of demand and topped up, so no rate is wasted in full buckets; the estimate's time constant follows the number of arrivals; a host whose demand fell gives rate, burst and tokens back in the same report; an empty pool is asked again after 20 ms.

--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -222,7 +222,7 @@
 	for name, r := range g.table {
 		members[name] = r.member
 	}
-	v := newView(members)
+	v := NewView(members)
 	for start := range g.replaced {
 		v.Replaced = append(v.Replaced, start)
 	}
--- a/gossiper/view.go
+++ b/gossiper/view.go
@@ -36,7 +36,7 @@
 	services map[string][]*schema.Member
 }
 
-func newView(members map[string]*schema.Member) *View {
+func NewView(members map[string]*schema.Member) *View {
 	v := &View{
 		Members:  members,
 		ranked:   map[string][]*schema.Member{},
--- a/lender/book.go
+++ b/lender/book.go
@@ -20,6 +20,15 @@
 	// headroom is the ratio of a loan to the reported demand while the rate
 	// suffices for all.
 	headroom = 1.25
+	// limitSpan is the time of demand that a lent burst covers. What bursts
+	// need beyond comes from the pool.
+	limitSpan = 100 * time.Millisecond
+	// minLimit is the least lent burst where there is enough for all.
+	minLimit = 10.0
+	// tightShare is the ratio of a loan to demand if the rate is nearly used
+	// up; borrowers top up from the pool, so that no rate is wasted in buckets
+	// that are full.
+	tightShare = 0.85
 	// calmRefresh is the time between reports of steady demand.
 	calmRefresh = 10 * time.Second
 	// tightRefresh is the time between reports while demand exceeds the rate
@@ -82,6 +91,7 @@
 	}
 	*e = entry{demand: d.GetRate(), rate: d.GetHeld(), limit: d.GetCap()}
 	b.settle(now)
+	b.pool.Tokens = min(b.pool.Cap, b.pool.Tokens+max(d.GetReturned(), 0))
 	loan := &schema.Loan{Workspace: d.GetWorkspace()}
 	loan.Rate = b.resizeRate(e)
 	loan.Cap, loan.Tokens = b.resizeLimit(e, now)
@@ -111,7 +121,7 @@
 	if headroom*b.demand() <= lendable {
 		return headroom * demand
 	}
-	return min(demand, b.level(lendable))
+	return tightShare * min(demand, b.level(lendable))
 }
 
 // level returns the largest rate given to any borrower if the sum of the
@@ -139,7 +149,8 @@
 	if demand <= 0 {
 		return 0, 0
 	}
-	target := lendableBurst * b.limit.Burst * e.demand / demand
+	share := lendableBurst * b.limit.Burst * e.demand / demand
+	target := min(share, max(minLimit, e.demand*limitSpan.Seconds()))
 	if target <= e.limit {
 		return target, 0
 	}
--- a/limiter/account.go
+++ b/limiter/account.go
@@ -30,8 +30,8 @@
 	waiters []*waiter
 	// voided is true if the loan was given up after the last report.
 	voided bool
-	// dry is true if the holder had no tokens left at the last report.
-	dry bool
+	// dry is the time until which the holder is taken to have no tokens left.
+	dry time.Time
 
 	arrivals int
 	demand   float64
@@ -58,7 +58,7 @@
 		return nil, a.soonest()
 	}
 	own, ok := a.bucket.Wait(float64(len(a.waiters) + 1))
-	if a.dry && (!ok || own > a.patience) {
+	if now.Before(a.dry) && (!ok || own > a.patience) {
 		return nil, a.soonest()
 	}
 	w := &waiter{done: make(chan struct{})}
@@ -129,8 +129,11 @@
 		return
 	}
 	rate := float64(a.arrivals) / elapsed.Seconds()
-	weight := 1 - math.Exp(-float64(elapsed)/float64(smoothing))
+	weight := 1 - math.Exp(-float64(elapsed)/float64(smoothing(max(a.demand, rate))))
 	a.demand += weight * (rate - a.demand)
+	if expected := a.demand * elapsed.Seconds(); rate == 0 && expected > silentArrivals {
+		a.demand = 0
+	}
 	if a.demand < minDrift/10 {
 		a.demand = 0
 	}
@@ -138,6 +141,16 @@
 	a.measured = now
 }
 
+// smoothing returns the time constant of the estimate: short where arrivals
+// are many, so that demand that went elsewhere is noticed soon.
+func smoothing(demand float64) time.Duration {
+	if demand <= 0 {
+		return maxSmoothing
+	}
+	d := time.Duration(smoothingArrivals / demand * float64(time.Second))
+	return min(max(d, minSmoothing), maxSmoothing)
+}
+
 // due tells whether the account should be reported to the holder, and whether
 // that can't wait.
 func (a *account) due(now time.Time) (due, urgent bool) {
@@ -147,34 +160,65 @@
 		return true, true
 	}
 	since := now.Sub(a.told)
-	if since < reportPause {
+	gone := a.demand == 0 && a.reported > 0
+	if since < reportPause && !gone {
 		return false, false
 	}
 	idle := a.demand == 0 && a.reported == 0 && a.bucket.Cap == 0
 	if idle {
 		return false, false
 	}
+	if a.low(now) {
+		return true, false
+	}
 	if math.Abs(a.demand-a.reported) > max(minDrift, drift*a.reported) {
 		return true, false
 	}
 	return since >= a.refresh, false
 }
 
+// low tells whether the bucket should be topped up from the holder's pool; the
+// caller holds the lock.
+func (a *account) low(now time.Time) bool {
+	a.bucket.Refill(now)
+	scarce := a.bucket.Rate < a.demand
+	return scarce && !now.Before(a.dry) && a.bucket.Tokens < a.bucket.Cap/2
+}
+
 // report describes the account to the holder of the given term.
 func (a *account) report(now time.Time, term uint64) *schema.Demand {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	fallen := a.demand < a.reported*(1-drift)
+	returned := 0.0
+	if fallen && a.term == term {
+		returned = a.shrink(now)
+	}
 	a.told = now
 	a.voided = false
 	a.reported = a.demand
 	d := &schema.Demand{Workspace: a.workspace, Rate: a.demand, Tokens: float64(len(a.waiters))}
+	if a.low(now) {
+		d.Tokens += a.bucket.Cap - a.bucket.Tokens
+	}
 	if a.term == term {
 		d.Held = a.bucket.Rate
 		d.Cap = a.bucket.Cap
+		d.Returned = returned
 	}
 	return d
 }
 
+// shrink lowers the loan in proportion to demand that has fallen and returns
+// the tokens that no longer fit; the caller holds the lock.
+func (a *account) shrink(now time.Time) float64 {
+	a.bucket.Refill(now)
+	ratio := a.demand / a.reported
+	before := a.bucket.Tokens
+	a.bucket.Resize(now, a.bucket.Rate*ratio, a.bucket.Cap*ratio)
+	return before - a.bucket.Tokens
+}
+
 // apply takes over a loan made under a term. Tokens go to waiters first, since
 // the loan may be too small to hold them.
 func (a *account) apply(loan *schema.Loan, term uint64, current bool, c Confirmer) {
@@ -208,7 +252,9 @@
 		// Frees at the holder what is no longer held here.
 		a.refresh = reportPause
 	}
-	a.dry = loan.GetTokens() < 1
+	if loan.GetTokens() < 1 {
+		a.dry = now.Add(dryPause)
+	}
 }
 
 // adapt scales the loan down at once if the workspace's limit was lowered.
