--- /dev/null
+++ b/driver/driver.go
@@ -0,0 +1,261 @@
+// Package driver sends load at given rates and measures what comes back.
+//
+// The load is an open loop: requests are due at times drawn beforehand,
+// whether or not earlier ones were answered, and latency counts from the time
+// a request was due. So a slow system can't hide its delays by slowing the
+// load down.
+//
+// # Usage
+//
+//	report := driver.Run(ctx, driver.Scenario{
+//		Seed: 1, Duration: 10 * time.Second,
+//		Streams: []driver.Stream{{Name: "orders", Rate: 100, Targets: []string{"127.0.0.1:7000"}, Method: "POST", Path: "/orders"}},
+//	})
+package driver
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// slice is the time over which the course of a run is counted.
+	slice = 100 * time.Millisecond
+	// longest is the largest latency that is told apart.
+	longest = 2 * time.Minute
+	// digits is the number of significant digits of latencies.
+	digits = 3
+	// idlePerTarget is the number of idle connections kept to one target.
+	idlePerTarget = 512
+)
+
+// Scenario describes a run.
+type Scenario struct {
+	Seed     uint64
+	Duration time.Duration
+	// Timeout bounds each request.
+	Timeout time.Duration
+	Streams []Stream
+}
+
+// Stream is a flow of requests of one kind.
+type Stream struct {
+	Name string
+	// Rate is in requests per second.
+	Rate float64
+	// Targets are taken in turn at random.
+	Targets []string
+	Method  string
+	Path    string
+	Key     string
+	// Body is the size of the request body in bytes.
+	Body int
+	// Resends is how often a request is sent again at once after a failure.
+	Resends int
+	// From and To bound a surge, in which the rate is multiplied by Surge.
+	From, To time.Duration
+	Surge    float64
+}
+
+// Result holds what came back of a stream.
+type Result struct {
+	Name     string           `json:"name"`
+	Sent     int              `json:"sent"`
+	Attempts int              `json:"attempts"`
+	Answered int              `json:"answered"`
+	Failed   map[string]int   `json:"failed"`
+	P50      time.Duration    `json:"p50"`
+	P99      time.Duration    `json:"p99"`
+	P999     time.Duration    `json:"p999"`
+	Max      time.Duration    `json:"max"`
+	Wrong    int              `json:"wrong"`
+	Course   []int            `json:"course"`
+	IDs      map[string]State `json:"-"`
+}
+
+// State is the last outcome seen for a request id.
+type State string
+
+// stream is a stream under way.
+type stream struct {
+	Stream
+	client *http.Client
+	prefix string
+
+	mu        sync.Mutex
+	result    Result
+	histogram *hdrhistogram.Histogram
+}
+
+// Run sends the load and returns a result for each stream, in order.
+func Run(ctx context.Context, s Scenario) []Result {
+	client := &http.Client{
+		Timeout: s.Timeout,
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: idlePerTarget,
+			DialContext:         (&net.Dialer{Timeout: s.Timeout}).DialContext,
+			DisableCompression:  true,
+		},
+	}
+	started := time.Now()
+	var group sync.WaitGroup
+	streams := make([]*stream, len(s.Streams))
+	for i, described := range s.Streams {
+		streams[i] = newStream(described, client, s)
+		rng := rand.New(rand.NewPCG(s.Seed, uint64(i)))
+		group.Go(func() { streams[i].run(ctx, rng, started, s.Duration) })
+	}
+	group.Wait()
+	results := make([]Result, len(streams))
+	for i, st := range streams {
+		results[i] = st.summary()
+	}
+	return results
+}
+
+func newStream(described Stream, client *http.Client, s Scenario) *stream {
+	return &stream{
+		Stream:    described,
+		client:    client,
+		prefix:    fmt.Sprintf("%s-%d", described.Name, s.Seed),
+		histogram: hdrhistogram.New(1, longest.Microseconds(), digits),
+		result: Result{
+			Name:   described.Name,
+			Failed: map[string]int{},
+			Course: make([]int, s.Duration/slice+1),
+			IDs:    map[string]State{},
+		},
+	}
+}
+
+// run sends the stream's requests at their times and waits for the answers.
+func (s *stream) run(ctx context.Context, rng *rand.Rand, started time.Time, d time.Duration) {
+	var group sync.WaitGroup
+	due := time.Duration(0)
+	for number := 0; ; number++ {
+		due += time.Duration(rng.ExpFloat64() / s.rateAt(due) * float64(time.Second))
+		if due >= d || ctx.Err() != nil {
+			break
+		}
+		time.Sleep(time.Until(started.Add(due)))
+		target := s.Targets[rng.IntN(len(s.Targets))]
+		id := fmt.Sprintf("%s-%d", s.prefix, number)
+		at := due
+		group.Go(func() { s.request(ctx, target, id, started.Add(at), at) })
+	}
+	group.Wait()
+}
+
+func (s *stream) rateAt(at time.Duration) float64 {
+	if s.Surge > 0 && at >= s.From && at < s.To {
+		return s.Rate * s.Surge
+	}
+	return s.Rate
+}
+
+// request sends one request, with its resends, and records the outcome.
+func (s *stream) request(ctx context.Context, target, id string, due time.Time, at time.Duration) {
+	attempts := 0
+	var state State
+	for range s.Resends + 1 {
+		attempts++
+		state = s.attempt(ctx, target, id)
+		if state == stateAnswered || state == stateWrong {
+			break
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.result.Sent++
+	s.result.Attempts += attempts
+	s.result.IDs[id] = state
+	switch state {
+	case stateAnswered:
+		s.result.Answered++
+		s.result.Course[at/slice]++
+		_ = s.histogram.RecordValue(time.Since(due).Microseconds())
+	case stateWrong:
+		s.result.Wrong++
+	default:
+		s.result.Failed[string(state)]++
+	}
+}
+
+// States of requests besides result codes.
+const (
+	stateAnswered State = "answered"
+	// stateWrong means that the answer belongs to another request or is short.
+	stateWrong State = "wrong"
+	stateCut   State = "cut"
+)
+
+// attempt sends a request once.
+func (s *stream) attempt(ctx context.Context, target, id string) State {
+	body := strings.NewReader(strings.Repeat("x", s.Body))
+	req, err := http.NewRequestWithContext(ctx, s.Method, "http://"+target+s.Path, body)
+	if err != nil {
+		return stateCut
+	}
+	if s.Key != "" {
+		req.Header.Set("Authorization", "Bearer "+s.Key)
+	}
+	req.Header.Set("X-Id", id)
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return stateCut
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return stateCut
+	}
+	return judge(resp.StatusCode, answer, id)
+}
+
+// judge tells whether an answer is whole and belongs to the request.
+func judge(status int, answer []byte, id string) State {
+	var document struct {
+		ID   string `json:"id"`
+		Code int    `json:"code"`
+	}
+	if err := json.Unmarshal(answer, &document); err != nil {
+		if status == http.StatusOK {
+			return stateWrong
+		}
+		return State(fmt.Sprintf("status %d", status))
+	}
+	switch {
+	case document.Code != 0:
+		return State(fmt.Sprintf("code %d", document.Code))
+	case status != http.StatusOK:
+		return State(fmt.Sprintf("status %d", status))
+	case document.ID != id:
+		return stateWrong
+	default:
+		return stateAnswered
+	}
+}
+
+func (s *stream) summary() Result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.result.P50 = s.quantile(50)
+	s.result.P99 = s.quantile(99)
+	s.result.P999 = s.quantile(99.9)
+	s.result.Max = time.Duration(s.histogram.Max()) * time.Microsecond
+	return s.result
+}
+
+func (s *stream) quantile(q float64) time.Duration {
+	return time.Duration(s.histogram.ValueAtQuantile(q)) * time.Microsecond
+}
--- a/lender/book.go
+++ b/lender/book.go
@@ -25,6 +25,8 @@
 	limitSpan = 100 * time.Millisecond
 	// minLimit is the least lent burst where there is enough for all.
 	minLimit = 10.0
+	// minLimitShare bounds the least lent burst, as a share of the whole.
+	minLimitShare = 0.125
 	// tightShare is the ratio of a loan to demand if the rate is nearly used
 	// up; borrowers top up from the pool, so that no rate is wasted in buckets
 	// that are full.
@@ -150,7 +152,8 @@
 		return 0, 0
 	}
 	share := lendableBurst * b.limit.Burst * e.demand / demand
-	target := min(share, max(minLimit, e.demand*limitSpan.Seconds()))
+	least := min(minLimit, minLimitShare*b.limit.Burst)
+	target := min(share, max(least, e.demand*limitSpan.Seconds()))
 	if target <= e.limit {
 		return target, 0
 	}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -10,7 +10,7 @@
 
 fail() {
   echo "demo failed: $1" >&2
-  tail -n 5 "$RUN"/*.log >&2
+  grep -hE "WARN|ERRO|FATA" "$RUN"/*.log | tail -n 20 >&2
   exit 1
 }
 
@@ -41,6 +41,7 @@
 echo "== 40 requests more, at all nodes, inside rate and burst"
 ok=0
 for i in $(seq 40); do
+  sleep 0.02
   status=$(curl -s -o "$RUN/answer" -w '%{http_code}' -H "Authorization: Bearer $KEY" "http://127.0.0.1:$((10000 + 10 * (i % 6 + 1)))/sizes/$i")
   [ "$status" = 200 ] && ok=$((ok + 1))
 done
