--- a/cmd/quetzalctl/force.go
+++ b/cmd/quetzalctl/force.go
@@ -27,6 +27,8 @@
 	Version uint64 `json:"version"`
 	Hosts   int    `json:"hosts"`
 	InForce int    `json:"in_force"`
+	// Took is the time from the accepted write until the last look at the hosts.
+	Took string `json:"took"`
 }
 
 func describe(ctx context.Context, address string) (*schema.DescribeResponse, error) {
@@ -38,7 +40,8 @@
 // await waits until a version is in force on all live hosts.
 func (o *options) await(ctx context.Context, what string, version uint64) subcommands.ExitStatus {
 	force := Force{Change: what, Version: version}
-	deadline := time.Now().Add(o.wait)
+	started := time.Now()
+	deadline := started.Add(o.wait)
 	for {
 		force.Hosts, force.InForce = o.inForce(ctx, version)
 		done := force.Hosts > 0 && force.InForce == force.Hosts
@@ -47,6 +50,7 @@
 		}
 		time.Sleep(askPause)
 	}
+	force.Took = time.Since(started).Round(time.Millisecond).String()
 	return o.reportForce(force)
 }
 
--- /dev/null
+++ b/forwarder/mesh_test.go
@@ -0,0 +1,329 @@
+package forwarder_test
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"quetzalhub/balancer"
+	"quetzalhub/fencer"
+	"quetzalhub/forwarder"
+	"quetzalhub/gossiper"
+	"quetzalhub/guard"
+	"quetzalhub/naive"
+	"quetzalhub/refuser"
+	"quetzalhub/resolver"
+	"quetzalhub/schema"
+	"quetzalhub/tracker"
+)
+
+const secret = "qz_TESTSECRET0000000000000"
+
+// mesh is a fleet of nodes in one process, with a fixed table.
+type mesh struct {
+	t      *testing.T
+	naive  bool
+	budget uint32
+	check  time.Duration
+
+	mu     sync.Mutex
+	view   *gossiper.View
+	state  *schema.State
+	nodes  []*node
+	checks int
+	// onCheck, if set, is told the number of checks so far.
+	onCheck func(n int)
+}
+
+// node is one node with its upstream.
+type node struct {
+	mesh     *mesh
+	name     string
+	service  string
+	fencer   *fencer.Fencer
+	gate     forwarder.Gate
+	upstream *httptest.Server
+	peers    *httptest.Server
+	callers  *httptest.Server
+	local    *httptest.Server
+	// link, if set, stands between other nodes and this one.
+	link *link
+}
+
+func newMesh(t *testing.T) *mesh {
+	m := &mesh{t: t, budget: 3, check: 200 * time.Millisecond, view: gossiper.NewView(nil)}
+	digest := resolver.DigestOf(secret)
+	m.state = &schema.State{Version: 1, Config: &schema.Config{Workspaces: []*schema.Workspace{
+		{Name: "gloves", Rate: 1e6, Burst: 1e6, Keys: []*schema.Key{{Digest: digest[:]}}},
+	}}}
+	return m
+}
+
+func (m *mesh) View() *gossiper.View {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.view
+}
+
+func (m *mesh) Snapshot() *resolver.Snapshot {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	raw, _ := proto.Marshal(m.state)
+	s, _ := resolver.Compile(raw)
+	return s
+}
+
+func (m *mesh) Fresh() bool { return true }
+
+func (m *mesh) Admit(context.Context, string) error { return nil }
+
+// route adds a route for a service at /service.
+func (m *mesh) route(service string, idempotent bool) {
+	m.state.Config.Routes = append(m.state.Config.Routes, &schema.Route{
+		Prefix: "/" + service, Service: service, Class: schema.Class_CLASS_NORMAL, Idempotent: idempotent,
+	})
+}
+
+func (n *node) Identity() (string, uint64) { return n.name, 1 }
+
+func (n *node) Gate(service string) (forwarder.Gate, string, refuser.Code) {
+	if service != n.service {
+		return nil, "", refuser.EndpointMissing
+	}
+	return n.gate, strings.TrimPrefix(n.upstream.URL, "http://"), refuser.None
+}
+
+// Check asks the node at an address directly.
+func (m *mesh) Check(_ context.Context, address string, req *schema.CheckRequest) (schema.Progress, error) {
+	m.mu.Lock()
+	m.checks++
+	n, told := m.checks, m.onCheck
+	m.mu.Unlock()
+	if told != nil {
+		told(n)
+	}
+	for _, n := range m.nodes {
+		if n.address() == address {
+			return n.fencer.Check(req.GetAttempt()), nil
+		}
+	}
+	return schema.Progress_PROGRESS_UNKNOWN, io.ErrUnexpectedEOF
+}
+
+func (n *node) address() string {
+	if n.link != nil {
+		return n.link.listener.Addr().String()
+	}
+	return n.peers.Listener.Addr().String()
+}
+
+// add starts a node beside an upstream with the given handler, which is told
+// the address of the node's local listener.
+func (m *mesh) add(service string, handler func(local string) http.Handler) *node {
+	n := &node{mesh: m, name: fmt.Sprintf("node-%d", len(m.nodes)), service: service, fencer: fencer.New()}
+	n.gate = guard.New(guard.Start(64))
+	n.local = httptest.NewUnstartedServer(nil)
+	n.upstream = httptest.NewServer(handler(n.local.Listener.Addr().String()))
+	active := &tracker.Tracker{}
+	refusals := refuser.New(new(expvar.Map))
+	options := forwarder.DispatcherOptions{
+		Identity: n, Picker: balancer.New(m, "main"), Throttle: tracker.NewThrottle(), Checker: m,
+		Transport: forwarder.NewTransport(), Patience: m.check, Retries: new(expvar.Map),
+	}
+	if m.naive {
+		options.Picker = naive.NewPicker(m)
+		options.PerCall = naive.Attempts
+	}
+	d := forwarder.NewDispatcher(options)
+	entry := forwarder.EntryOptions{Deadline: 5 * time.Second, Retries: m.budget, Body: 1 << 20}
+	n.callers = httptest.NewServer(forwarder.NewEntry(entry, m, m, d, forwarder.NewShedder(), refusals))
+	n.local.Config.Handler = forwarder.NewEgress(m, active, d, refusals, 1<<20)
+	n.local.Start()
+	n.peers = httptest.NewServer(forwarder.NewRelay(forwarder.RelayOptions{
+		Identity: n, Upstreams: n, Fencer: n.fencer, Tracker: active,
+		Refuser: refuser.New(new(expvar.Map)), Transport: forwarder.NewTransport(), Body: 1 << 20,
+	}))
+	for _, s := range []*httptest.Server{n.local, n.upstream, n.callers, n.peers} {
+		m.t.Cleanup(s.Close)
+		m.t.Cleanup(s.CloseClientConnections)
+	}
+	m.nodes = append(m.nodes, n)
+	return n
+}
+
+// join makes all nodes known to each other.
+func (m *mesh) join() {
+	members := map[string]*schema.Member{}
+	for _, n := range m.nodes {
+		members[n.name] = &schema.Member{
+			Name: n.name, Address: n.address(), Domain: "a", Region: "main", Incarnation: 1,
+			Status:    schema.Status_STATUS_ALIVE,
+			Endpoints: []*schema.Endpoint{{Service: n.service, Phase: schema.Phase_PHASE_READY}},
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.view = gossiper.NewView(members)
+}
+
+// answer is what a caller saw.
+type answer struct {
+	status int
+	body   string
+	// whole is false if the answer was cut.
+	whole bool
+}
+
+// request sends a request to the first node.
+func (m *mesh) request(method, path, id, body string) answer {
+	req, _ := http.NewRequest(method, m.nodes[0].callers.URL+path, strings.NewReader(body))
+	req.Header.Set("Authorization", "Bearer "+secret)
+	req.Header.Set("X-Id", id)
+	return send(req)
+}
+
+func send(req *http.Request) answer {
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return answer{}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, string(text), err == nil}
+}
+
+// ledger counts how often each request ran.
+type ledger struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func newLedger() *ledger { return &ledger{runs: map[string]int{}} }
+
+func (l *ledger) add(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[id]++
+}
+
+func (l *ledger) count(id string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[id]
+}
+
+func (l *ledger) total() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sum := 0
+	for _, n := range l.runs {
+		sum += n
+	}
+	return sum
+}
+
+// echo answers with the request's id and records it.
+func echo(l *ledger) func(string) http.Handler {
+	return func(string) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			id := r.Header.Get("X-Id")
+			l.add(id)
+			_, _ = fmt.Fprintf(w, "%s:%s:%s", id, body, strings.Repeat("z", 2000))
+		})
+	}
+}
+
+// link is a network path that can be cut or fall silent.
+type link struct {
+	listener net.Listener
+	target   string
+
+	mu sync.Mutex
+	// forth and back are the numbers of bytes after which a connection is cut
+	// in each direction; negative ones never cut.
+	forth, back int
+	// silent keeps connections open without passing anything on.
+	silent bool
+}
+
+func (m *mesh) newLink(n *node) *link {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	l := &link{listener: listener, target: n.peers.Listener.Addr().String(), forth: -1, back: -1}
+	n.link = l
+	m.t.Cleanup(func() { _ = listener.Close() })
+	go l.run()
+	return l
+}
+
+func (l *link) set(forth, back int, silent bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.forth, l.back, l.silent = forth, back, silent
+}
+
+func (l *link) run() {
+	for {
+		conn, err := l.listener.Accept()
+		if err != nil {
+			return
+		}
+		go l.carry(conn)
+	}
+}
+
+func (l *link) carry(near net.Conn) {
+	far, err := net.Dial("tcp", l.target)
+	if err != nil {
+		_ = near.Close()
+		return
+	}
+	l.mu.Lock()
+	forth, back := l.forth, l.back
+	l.mu.Unlock()
+	closeBoth := func() {
+		_ = near.Close()
+		_ = far.Close()
+	}
+	go l.pass(far, near, forth, closeBoth)
+	l.pass(near, far, back, closeBoth)
+}
+
+// pass copies bytes until the limit is reached, then cuts.
+func (l *link) pass(to, from net.Conn, limit int, cut func()) {
+	defer cut()
+	buffer := make([]byte, 4096)
+	for passed := 0; ; {
+		n, err := from.Read(buffer)
+		for l.isSilent() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if limit >= 0 && passed+n > limit {
+			_, _ = to.Write(buffer[:limit-passed])
+			return
+		}
+		passed += n
+		if _, failed := to.Write(buffer[:n]); failed != nil || err != nil {
+			return
+		}
+	}
+}
+
+func (l *link) isSilent() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.silent
+}
--- /dev/null
+++ b/forwarder/retry_test.go
@@ -0,0 +1,102 @@
+package forwarder_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+// caller answers after calling further paths at once through its node.
+func caller(l *ledger, paths ...string) func(string) http.Handler {
+	return func(local string) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			l.add(r.URL.Path)
+			results := make(chan int, len(paths))
+			for _, path := range paths {
+				go func() { results <- callBelow(r, local, path) }()
+			}
+			status := http.StatusOK
+			for range paths {
+				status = max(status, <-results)
+			}
+			w.WriteHeader(status)
+		})
+	}
+}
+
+func callBelow(r *http.Request, local, path string) int {
+	req, _ := http.NewRequestWithContext(r.Context(), "GET", "http://"+local+path, nil)
+	req.Header.Set("Quetzal-Ticket", r.Header.Get("Quetzal-Ticket"))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return http.StatusBadGateway
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// dropper closes every connection without an answer.
+func dropper(l *ledger) func(string) http.Handler {
+	return func(string) http.Handler {
+		return http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			l.add(r.URL.Path)
+			panic(http.ErrAbortHandler)
+		})
+	}
+}
+
+// chain builds services called level-0 to level-depth, each calling the next
+// one fanout times, the last one failing.
+func chain(m *mesh, l *ledger, depth, fanout int) {
+	for level := range depth {
+		paths := make([]string, fanout)
+		for i := range paths {
+			paths[i] = fmt.Sprintf("/level-%d", level+1)
+		}
+		m.route(fmt.Sprintf("level-%d", level), true)
+		m.add(fmt.Sprintf("level-%d", level), caller(l, paths...))
+	}
+	m.route(fmt.Sprintf("level-%d", depth), true)
+	for range 3 {
+		m.add(fmt.Sprintf("level-%d", depth), dropper(l))
+	}
+	m.join()
+}
+
+// TestRetriesBounded sends one request into call trees whose leaves fail. All
+// arrivals together stay within the calls of the tree plus the budget.
+func TestRetriesBounded(t *testing.T) {
+	cases := map[string]struct{ depth, fanout, calls int }{
+		"17 deep":            {16, 1, 17},
+		"3 deep, 4 wide":     {3, 4, 1 + 4 + 16 + 64},
+		"6 deep, 2 wide":     {6, 2, 127},
+		"one call, no chain": {0, 1, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			m := newMesh(t)
+			runs := newLedger()
+			chain(m, runs, c.depth, c.fanout)
+			m.request("GET", "/level-0", "request", "")
+			t.Logf("calls %d, budget %d, arrivals %d", c.calls, m.budget, runs.total())
+			g.Expect(runs.total()).To(BeNumerically("<=", c.calls+int(m.budget)))
+		})
+	}
+}
+
+// TestNaiveRetriesMultiply shows the growth without a budget.
+func TestNaiveRetriesMultiply(t *testing.T) {
+	g := NewWithT(t)
+	m := newMesh(t)
+	m.naive = true
+	runs := newLedger()
+	chain(m, runs, 4, 1)
+	m.request("GET", "/level-0", "request", "")
+	t.Logf("calls 5, arrivals %d", runs.total())
+	g.Expect(runs.total()).To(BeNumerically(">", 5+3))
+}
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -35,6 +35,8 @@
 	heartbeat = 10 * time.Second
 	// silence is the time without heartbeats after which a domain is lost.
 	silence = 35 * time.Second
+	// minPause is the least time between two watches.
+	minPause = 20 * time.Millisecond
 	// joinPause is the time between two searches for other nodes.
 	joinPause = 2 * time.Second
 	// seedsKept is the number of addresses in a heartbeat.
@@ -108,20 +110,15 @@
 // Run watches until the context ends.
 func (w *Watcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		started := time.Now()
-		w.step(ctx)
-		if pause := w.Poll - time.Since(started); pause > 0 && !w.watched(started) {
-			sleep(ctx, pause)
+		pause := w.Poll
+		if w.step(ctx) {
+			// The next watch waits at the platform.
+			pause = minPause
 		}
+		sleep(ctx, pause)
 	}
 }
 
-// watched tells whether a step that began at a time ended with a state or a
-// confirmation, so that the next one may follow at once.
-func (w *Watcher) watched(started time.Time) bool {
-	return !w.down && time.Since(started) >= w.Poll/2
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -129,22 +126,21 @@
 	}
 }
 
-func (w *Watcher) step(ctx context.Context) {
+// step does what is due and tells whether the platform answered a watch.
+func (w *Watcher) step(ctx context.Context) bool {
 	view := w.Fleet.View()
 	if view.Live() == 1 || w.Confirmer.Snapshot() == nil {
 		w.join(ctx)
 	}
 	rank, watches := view.Watches(w.Name)
-	if !watches {
-		return
-	}
-	if !w.watch(ctx) {
-		return
+	if !watches || !w.watch(ctx) {
+		return false
 	}
 	if rank == 0 && time.Since(w.beaten) >= heartbeat {
 		w.beat(ctx, view)
 	}
 	w.assign(ctx, view, rank)
+	return true
 }
 
 // watch waits for a new state and tells whether the platform answered.
