--- a/cmd/quetzal-load/main.go
+++ b/cmd/quetzal-load/main.go
@@ -5,7 +5,8 @@
 //
 //	quetzal-load [-json] -scenario FILE
 //
-// The file has a section [load] with the keys duration, timeout and seed, and a
+// The file has a section [load] with the keys duration, timeout, seed, from and
+// to (the bounds of a trigger), and a
 // section [stream.NAME] for each stream with the keys rate, targets, method,
 // path, key, body, resends, surge, from and to. Targets are loopback addresses.
 package main
@@ -41,16 +42,28 @@
 	print(results)
 }
 
+// phases returns the goodput columns of a result.
+func phases(p *driver.Phases) string {
+	if p == nil {
+		return "-\t-\t-\t-"
+	}
+	recovery := "never"
+	if p.Recovered {
+		recovery = p.Recovery.String()
+	}
+	return fmt.Sprintf("%.0f/s\t%.0f/s\t%.0f/s\t%s", p.Before, p.During, p.After, recovery)
+}
+
 func print(results []driver.Result) {
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(w, "STREAM\tSENT\tATTEMPTS\tANSWERED\tWRONG\tP50\tP99\tP99.9\tFAILED")
+	fmt.Fprintln(w, "STREAM\tSENT\tATTEMPTS\tANSWERED\tWRONG\tP50\tP99\tP99.9\tBEFORE\tDURING\tAFTER\tRECOVERY\tFAILED")
 	for _, r := range results {
 		var failed []string
 		for _, reason := range slices.Sorted(maps.Keys(r.Failed)) {
 			failed = append(failed, fmt.Sprintf("%s: %d", reason, r.Failed[reason]))
 		}
-		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%v\t%v\t%v\t%s\n",
-			r.Name, r.Sent, r.Attempts, r.Answered, r.Wrong, r.P50, r.P99, r.P999, strings.Join(failed, ", "))
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%v\t%v\t%v\t%s\t%s\n",
+			r.Name, r.Sent, r.Attempts, r.Answered, r.Wrong, r.P50, r.P99, r.P999, phases(r.Phases), strings.Join(failed, ", "))
 	}
 	_ = w.Flush()
 }
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -45,7 +45,10 @@
 	Duration time.Duration
 	// Timeout bounds each request.
 	Timeout time.Duration
-	Streams []Stream
+	// From and To bound the trigger of an overload, for the comparison of
+	// goodput before, during and after it; both zero if there is none.
+	From, To time.Duration
+	Streams  []Stream
 }
 
 // Stream is a flow of requests of one kind.
@@ -81,6 +84,8 @@
 	Wrong    int              `json:"wrong"`
 	Course   []int            `json:"course"`
 	IDs      map[string]State `json:"-"`
+	// Phases compares goodput if the scenario has a trigger.
+	Phases *Phases `json:"phases,omitempty"`
 }
 
 // State is the last outcome seen for a request id.
@@ -119,6 +124,9 @@
 	results := make([]Result, len(streams))
 	for i, st := range streams {
 		results[i] = st.summary()
+		if s.To > 0 {
+			results[i].Phases = phasesOf(results[i].Course, s.From, s.To)
+		}
 	}
 	return results
 }
--- a/driver/scenario.go
+++ b/driver/scenario.go
@@ -29,6 +29,8 @@
 		Seed:     section.Key("seed").MustUint64(1),
 		Duration: section.Key("duration").MustDuration(10 * time.Second),
 		Timeout:  section.Key("timeout").MustDuration(defaultTimeout),
+		From:     section.Key("from").MustDuration(0),
+		To:       section.Key("to").MustDuration(0),
 	}
 	if s.Duration <= 0 || s.Duration > maxDuration {
 		return Scenario{}, errors.NotValidf("[load] duration %v (up to %v)", s.Duration, maxDuration)
--- /dev/null
+++ b/gossiper/fleet_test.go
@@ -0,0 +1,191 @@
+package gossiper_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"quetzalhub/confirmer"
+	"quetzalhub/gossiper"
+	"quetzalhub/schema"
+)
+
+const (
+	interval  = 500 * time.Millisecond
+	suspicion = 4 * time.Second
+	freshness = 5 * time.Second
+	latency   = time.Millisecond
+)
+
+// network carries datagrams and pulls between gossipers in one process.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]*peer
+	rng   *rand.Rand
+	// loss is the share of lost datagrams.
+	loss float64
+	// group separates addresses: only equal ones reach each other.
+	group map[string]int
+	// down stops confirmations by the platform.
+	down    bool
+	raw     []byte
+	version uint64
+	bytes   int
+}
+
+// peer is one node.
+type peer struct {
+	network   *network
+	address   string
+	domain    string
+	gossiper  *gossiper.Gossiper
+	confirmer *confirmer.Confirmer
+	cancel    context.CancelFunc
+	frozen    bool
+}
+
+func newNetwork(domains ...string) *network {
+	n := &network{nodes: map[string]*peer{}, rng: rand.New(rand.NewPCG(3, 4)), group: map[string]int{}}
+	n.publish(&schema.State{Version: 1, Domains: domains})
+	return n
+}
+
+// publish sets the state on the platform.
+func (n *network) publish(s *schema.State) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.raw, _ = proto.Marshal(s)
+	n.version = s.GetVersion()
+}
+
+// start adds a node.
+func (n *network) start(t *testing.T, name, domain string, incarnation uint64, join ...string) *peer {
+	p := &peer{network: n, address: name, domain: domain, confirmer: confirmer.New(domain, freshness)}
+	self := &schema.Member{
+		Name: name, Address: name, Domain: domain, Region: "main",
+		Incarnation: incarnation, Sequence: 1, Status: schema.Status_STATUS_ALIVE,
+	}
+	p.gossiper = gossiper.New(self, p, p.confirmer, p, gossiper.Interval(interval), gossiper.Suspicion(suspicion))
+	n.mu.Lock()
+	n.nodes[name] = p
+	n.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	t.Cleanup(cancel)
+	go p.gossiper.Run(ctx)
+	go p.watch(ctx)
+	p.gossiper.Join(join)
+	return p
+}
+
+// watch confirms the state with the platform if this node is a watcher.
+func (p *peer) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		sent := time.Now()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Second):
+		}
+		p.network.mu.Lock()
+		raw, version, down, frozen := p.network.raw, p.network.version, p.network.down, p.frozen
+		p.network.mu.Unlock()
+		if _, watches := p.gossiper.View().Watches(p.address); !watches || down || frozen {
+			continue
+		}
+		if applied, _ := p.confirmer.Apply(raw); applied {
+			p.gossiper.Push()
+		}
+		p.confirmer.Confirm(version, sent)
+	}
+}
+
+// Send carries a datagram.
+func (p *peer) Send(address string, datagram []byte) {
+	n := p.network
+	n.mu.Lock()
+	n.bytes += len(datagram)
+	to := n.nodes[address]
+	lost := n.rng.Float64() < n.loss || n.group[p.address] != n.group[address] || p.frozen
+	n.mu.Unlock()
+	if to == nil || lost {
+		return
+	}
+	time.AfterFunc(latency, func() {
+		n.mu.Lock()
+		frozen := to.frozen
+		n.mu.Unlock()
+		if !frozen {
+			to.gossiper.Receive(datagram)
+		}
+	})
+}
+
+// reach returns the node at an address if it can be reached.
+func (p *peer) reach(address string) *peer {
+	p.network.mu.Lock()
+	defer p.network.mu.Unlock()
+	to := p.network.nodes[address]
+	if to == nil || to.frozen || p.frozen || p.network.group[p.address] != p.network.group[address] {
+		return nil
+	}
+	return to
+}
+
+// Fetch gets the state from a node.
+func (p *peer) Fetch(address string) {
+	time.AfterFunc(2*latency, func() {
+		to := p.reach(address)
+		if to == nil || to.confirmer.Snapshot() == nil {
+			return
+		}
+		if applied, _ := p.confirmer.Apply(to.confirmer.Snapshot().Raw); applied {
+			p.gossiper.Push()
+		}
+	})
+}
+
+// Sync exchanges tables with a node.
+func (p *peer) Sync(address string) {
+	time.AfterFunc(2*latency, func() {
+		if to := p.reach(address); to != nil {
+			p.gossiper.Merge(list(to.gossiper.View()))
+			to.gossiper.Merge(list(p.gossiper.View()))
+		}
+	})
+}
+
+func list(v *gossiper.View) []*schema.Member {
+	var members []*schema.Member
+	for _, m := range v.Members {
+		members = append(members, m)
+	}
+	return members
+}
+
+// fleet starts a number of nodes in domains a, b, c, …
+func (n *network) fleet(t *testing.T, count, domains int) []*peer {
+	var peers []*peer
+	for i := range count {
+		domain := string(rune('a' + i%domains))
+		peers = append(peers, n.start(t, fmt.Sprintf("node-%03d", i), domain, 1, "node-000"))
+	}
+	return peers
+}
+
+// set changes the network under its lock.
+func (n *network) set(change func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change()
+}
+
+// sees returns the status that a node gives to another one.
+func (p *peer) sees(name string) schema.Status {
+	return p.gossiper.View().Members[name].GetStatus()
+}
