Tell a slow upstream from a queue, and shed by what the upstream completes

Cause: with the deepest service slowed ten times the guard cut its limit to one, since the latency stayed far above its floor at any limit; a quarter of the slowed capacity was used. The level moved by a tenth a window from a dozen arrivals, and fell to nothing at once when entries shed.

Changed: latencies count only for requests that entered after the last move of the limit; if the latency does not follow a cut of 0.7 the upstream got slower and the floor rises.

--- a/cmd/quetzal-load/main.go
+++ b/cmd/quetzal-load/main.go
@@ -5,8 +5,9 @@
 //
 //	quetzal-load [-json] -scenario FILE
 //
-// The file has a section [load] with the keys duration, timeout, seed, from and
-// to (the bounds of a trigger), and a
+// The file has a section [load] with the keys duration, timeout, seed, useful
+// (the latency beyond which an answer is late), from and to (the bounds of a
+// trigger), and a
 // section [stream.NAME] for each stream with the keys rate, targets, method,
 // path, key, body, resends, surge, from and to. Targets are loopback addresses.
 package main
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -45,6 +45,8 @@
 	Duration time.Duration
 	// Timeout bounds each request.
 	Timeout time.Duration
+	// Useful is the latency beyond which an answer counts as late.
+	Useful time.Duration
 	// From and To bound the trigger of an overload, for the comparison of
 	// goodput before, during and after it; both zero if there is none.
 	From, To time.Duration
@@ -96,6 +98,7 @@
 	Stream
 	client *http.Client
 	prefix string
+	useful time.Duration
 
 	mu        sync.Mutex
 	result    Result
@@ -135,6 +138,7 @@
 	return &stream{
 		Stream:    described,
 		client:    client,
+		useful:    s.Useful,
 		prefix:    fmt.Sprintf("%s-%d", described.Name, s.Seed),
 		histogram: hdrhistogram.New(1, longest.Microseconds(), digits),
 		result: Result{
@@ -182,6 +186,9 @@
 			break
 		}
 	}
+	if state == stateAnswered && s.useful > 0 && time.Since(due) > s.useful {
+		state = stateLate
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.result.Sent++
@@ -205,6 +212,8 @@
 	// stateWrong means that the answer belongs to another request or is short.
 	stateWrong State = "wrong"
 	stateCut   State = "cut"
+	// stateLate means that the answer came too late to be of use.
+	stateLate State = "late"
 )
 
 // attempt sends a request once.
--- a/driver/scenario.go
+++ b/driver/scenario.go
@@ -29,6 +29,7 @@
 		Seed:     section.Key("seed").MustUint64(1),
 		Duration: section.Key("duration").MustDuration(10 * time.Second),
 		Timeout:  section.Key("timeout").MustDuration(defaultTimeout),
+		Useful:   section.Key("useful").MustDuration(0),
 		From:     section.Key("from").MustDuration(0),
 		To:       section.Key("to").MustDuration(0),
 	}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -115,11 +115,10 @@
 		return
 	}
 	v.ticket = r.options.Tracker.Open(v.request)
-	ok := false
 	defer func() {
 		r.options.Tracker.Close(v.ticket)
 		pass.Exclude(v.request.Below.Total())
-		pass.Leave(ok)
+		pass.Leave()
 	}()
 	resp, code := r.call(ctx, req, v, body)
 	if code != refuser.None {
@@ -128,7 +127,6 @@
 		return
 	}
 	defer r.options.Fencer.End(id)
-	ok = resp.StatusCode < http.StatusInternalServerError
 	r.answer(w, v, resp)
 }
 
--- a/guard/concurrency.go
+++ b/guard/concurrency.go
@@ -8,9 +8,11 @@
 // concurrency learns how many requests an upstream serves at once.
 type concurrency interface {
 	limit() int
-	// sample takes the latency of a request that ended while the given number
-	// were active.
-	sample(now time.Time, latency time.Duration, active int, ok bool)
+	// floor is the latency of an upstream without a queue; zero if not known.
+	floor() time.Duration
+	// sample takes the latency of a request that entered at a time and ended
+	// now, while the given number were active.
+	sample(now, entered time.Time, latency time.Duration, active int)
 }
 
 const (
@@ -18,6 +20,11 @@
 	tolerance = 1.5
 	// steepest is the smallest factor by which the limit shrinks in a window.
 	steepest = 0.7
+	// provenCut is the ratio of limits after which the latency is compared.
+	provenCut = 0.7
+	// suspicion is the ratio of a latency to the floor learned from it when the
+	// upstream got slower; part of the latency may still be a queue.
+	suspicion = 1.2
 	// floorWindow is the time for which a smallest latency is remembered.
 	floorWindow = 10 * time.Second
 )
@@ -39,10 +46,17 @@
 
 func (f fixed) limit() int { return int(f) }
 
-func (f fixed) sample(time.Time, time.Duration, int, bool) {}
+func (f fixed) floor() time.Duration { return 0 }
 
-// gradient moves the limit by the ratio of the smallest latency of late to the
-// present one.
+func (f fixed) sample(time.Time, time.Time, time.Duration, int) {}
+
+// gradient moves the limit by the ratio of the smallest latency of late, its
+// floor, to the present one.
+//
+// A latency above the floor can mean that requests queue at the upstream or
+// that the upstream got slower. After a cut the two differ: a queue shrinks
+// with the limit and the latency with it, while a slower upstream keeps its
+// latency. In that case the floor is raised.
 type gradient struct {
 	options Options
 	current float64
@@ -51,15 +65,19 @@
 
 	started time.Time
 	sum     time.Duration
-	least   time.Duration
 	count   int
 	peak    int
 
-	// floor and next are the smallest latencies of the last and of the present
+	// least and next are the smallest latencies of the last and of the present
 	// floor window.
-	floor   time.Duration
+	least   time.Duration
 	next    time.Duration
 	renewed time.Time
+
+	// cutFrom and cutMean are limit and latency before a series of cuts; zero
+	// if none is under way.
+	cutFrom float64
+	cutMean time.Duration
 }
 
 func newGradient(o Options) *gradient {
@@ -68,34 +86,62 @@
 
 func (g *gradient) limit() int { return max(1, int(g.current)) }
 
-func (g *gradient) sample(now time.Time, latency time.Duration, active int, _ bool) {
+func (g *gradient) floor() time.Duration { return g.least }
+
+func (g *gradient) sample(now, entered time.Time, latency time.Duration, active int) {
 	if g.started.IsZero() {
-		g.started, g.renewed = now, now
+		g.started, g.renewed = entered, entered
+	}
+	if entered.Before(g.started) {
+		// Its latency shows the limit before the last move.
+		return
 	}
-	latency = max(latency, time.Microsecond)
-	g.sum += latency
+	g.sum += max(latency, time.Microsecond)
 	g.count++
 	g.peak = max(g.peak, active)
-	if g.least == 0 || latency < g.least {
-		g.least = latency
-	}
 	if now.Sub(g.started) < window || g.count < minSamples {
 		return
 	}
-	g.move(now)
-	g.started, g.sum, g.count, g.peak, g.least = now, 0, 0, 0, 0
+	g.move(now, g.sum/time.Duration(g.count))
+	g.started, g.sum, g.count, g.peak = now, 0, 0, 0
 }
 
-func (g *gradient) move(now time.Time) {
-	mean := g.sum / time.Duration(g.count)
+func (g *gradient) move(now time.Time, mean time.Duration) {
 	g.learnFloor(now, mean)
-	ratio := tolerance * float64(g.floor) / float64(mean)
+	if g.slower(mean) {
+		g.cutFrom = 0
+		g.least = time.Duration(float64(mean) / suspicion)
+		g.next = g.least
+	}
+	ratio := tolerance * float64(g.least) / float64(mean)
 	if ratio >= 1 {
+		g.cutFrom = 0
 		g.raise()
 		return
 	}
 	g.rising = false
-	g.current = max(1, g.current*max(ratio, steepest))
+	g.cut(max(ratio, steepest), mean)
+}
+
+// slower tells whether the latency did not follow the cuts made so far.
+func (g *gradient) slower(mean time.Duration) bool {
+	if g.cutFrom == 0 || float64(g.limit()) > provenCut*float64(int(g.cutFrom)) {
+		return false
+	}
+	halfway := (1 + float64(g.limit())/g.cutFrom) / 2
+	if float64(mean) > halfway*float64(g.cutMean) {
+		return true
+	}
+	g.cutFrom = 0
+	return false
+}
+
+// cut lowers the limit and remembers where a series of cuts began.
+func (g *gradient) cut(ratio float64, mean time.Duration) {
+	if g.cutFrom == 0 {
+		g.cutFrom, g.cutMean = g.current, mean
+	}
+	g.current = max(1, g.current*ratio)
 }
 
 func (g *gradient) raise() {
@@ -115,13 +161,13 @@
 		g.next = mean
 	}
 	if now.Sub(g.renewed) >= floorWindow {
-		g.floor, g.next, g.renewed = g.next, 0, now
+		g.least, g.next, g.renewed = g.next, 0, now
 		// A lower limit for a moment shows what the latency is without a queue.
 		g.current = max(1, g.current*steepest)
 		return
 	}
-	if g.floor == 0 || mean < g.floor {
-		g.floor = mean
+	if g.least == 0 || mean < g.least {
+		g.least = mean
 	}
 }
 
@@ -140,10 +186,10 @@
 
 func newAdditive(o Options) *additive { return &additive{*newGradient(o)} }
 
-func (a *additive) sample(now time.Time, latency time.Duration, active int, ok bool) {
+func (a *additive) sample(now, entered time.Time, latency time.Duration, active int) {
 	before := a.current
 	count := a.count
-	a.gradient.sample(now, latency, active, ok)
+	a.gradient.sample(now, entered, latency, active)
 	if a.count != 0 || count == 0 {
 		return
 	}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -80,7 +80,7 @@
 	now := time.Now()
 	priority := Priority(r.Class, r.Rank)
 	g.mu.Lock()
-	g.level.adjust(now, g.active, g.limiter.limit(), g.queue.length)
+	g.adjust(now)
 	if !g.level.admits(priority) {
 		g.mu.Unlock()
 		return nil, &refuser.Error{Code: refuser.ShedAtGuard}
@@ -100,6 +100,11 @@
 	return g.await(ctx, w)
 }
 
+// adjust moves the level if it is time; the caller holds the lock.
+func (g *Guard) adjust(now time.Time) {
+	g.level.adjust(now, g.active, g.limiter.limit(), g.queue.length, g.limiter.floor())
+}
+
 // queueLimit returns the number of requests that may wait.
 func (g *Guard) queueLimit() int {
 	return max(minQueue, queueRatio*g.limiter.limit())
@@ -139,13 +144,14 @@
 // of its measured time.
 func (p *Pass) Exclude(d time.Duration) { p.below += d }
 
-// Leave ends the right; ok is false if the upstream failed the request.
-func (p *Pass) Leave(ok bool) {
+// Leave ends the right.
+func (p *Pass) Leave() {
 	g := p.guard
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.limiter.sample(now, now.Sub(p.entered)-p.below, g.active, ok)
+	g.level.left()
+	g.limiter.sample(now, p.entered, now.Sub(p.entered)-p.below, g.active)
 	g.active--
 	for g.active < g.limiter.limit() {
 		w := g.queue.pop()
@@ -162,7 +168,7 @@
 func (g *Guard) Level() uint32 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.level.adjust(time.Now(), g.active, g.limiter.limit(), g.queue.length)
+	g.adjust(time.Now())
 	return g.level.lowest
 }
 
--- a/limiter/options.go
+++ b/limiter/options.go
@@ -45,7 +45,7 @@
 }
 
 func newOptions(opts ...Option) Options {
-	o := Options{Patience: 50 * time.Millisecond}
+	o := Options{Patience: 250 * time.Millisecond}
 	for _, opt := range opts {
 		opt(&o)
 	}
--- a/scripts/overload.sh
+++ b/scripts/overload.sh
@@ -100,13 +100,13 @@
   k1=$(ctl key-give small 2>/dev/null)
   k2=$(ctl key-give large 2>/dev/null)
   {
-    printf '[load]\nduration = %ss\ntimeout = 5s\nfrom = %ss\nto = %ss\n' $END $FROM $TO
+    printf '[load]\nduration = %ss\ntimeout = 1s\nuseful = 2s\nfrom = %ss\nto = %ss\n' $END $FROM $TO
     "${SHAPE}_streams" "$k1" "$k2" | sed "s/^path/targets = ${targets%,}\nresends = 2\npath/"
   } >"$RUN/load.ini"
   [ "$TRIGGER" = surge ] || { trigger & PIDS+=($!); }
   echo "-- $SHAPE, $TRIGGER, $POLICY"
   "$BIN/quetzal-load" -scenario "$RUN/load.ini"
-  ctl counters | awk 'NR > 1 {printf "   %s %s %s %s\n", $1, $2, $3, $4}' | paste -sd';'
+  ctl counters | awk 'NR > 1 {printf "   %s\n", $0}' | tr -s ' ' | paste -sd';'
   stop_fleet
   rm -rf "$RUN"
 }
