--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -9,12 +9,14 @@
 // # Usage
 //
 //	b := balancer.New(gossiper, "south")
+//	go b.Run(ctx)
 //	target, ok := b.Pick("orders", tried)
 //	...
 //	target.Done(balancer.Answered, latency)
 package balancer
 
 import (
+	"context"
 	"math"
 	"math/rand/v2"
 	"sync"
@@ -43,6 +45,8 @@
 	refusedPause = 50 * time.Millisecond
 	// unreachablePause is the time for which an unreachable node is passed over.
 	unreachablePause = time.Second
+	// forgetInterval is the time between two looks for nodes that are gone.
+	forgetInterval = time.Minute
 	// weight is the weight of a new latency in the mean.
 	weight = 0.1
 	// tries is the number of random picks made to find an untried node.
@@ -168,8 +172,21 @@
 	return score
 }
 
-// Forget drops what is known of nodes that are no longer in the fleet.
-func (b *Balancer) Forget() {
+// Run forgets nodes that are no longer in the fleet, until the context ends.
+func (b *Balancer) Run(ctx context.Context) {
+	ticker := time.NewTicker(forgetInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			b.forget()
+		}
+	}
+}
+
+func (b *Balancer) forget() {
 	members := b.directory.View().Members
 	b.tracks.Range(func(key, _ any) bool {
 		id := key.(trackID)
--- /dev/null
+++ b/fencer/fencer_test.go
@@ -0,0 +1,81 @@
+package fencer_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"quetzalhub/fencer"
+	"quetzalhub/schema"
+)
+
+// TestAgainstModel compares a fencer with the naive one that remembers
+// everything for ever, on random sequences within the retention time.
+func TestAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := fencer.New()
+		model := map[string]schema.Progress{}
+		t.Repeat(map[string]func(*rapid.T){
+			"begin": func(t *rapid.T) {
+				id := attempt(t)
+				if f.Begin(id) != (model[id] == 0) {
+					t.Fatalf("begin of %s after %v", id, model[id])
+				}
+				if model[id] == 0 {
+					model[id] = schema.Progress_PROGRESS_RUNNING
+				}
+			},
+			"end": func(t *rapid.T) {
+				if id := attempt(t); model[id] == schema.Progress_PROGRESS_RUNNING {
+					f.End(id)
+					model[id] = schema.Progress_PROGRESS_DONE
+				}
+			},
+			"withdraw": func(t *rapid.T) {
+				if id := attempt(t); model[id] == schema.Progress_PROGRESS_RUNNING {
+					f.Withdraw(id)
+					model[id] = schema.Progress_PROGRESS_FENCED
+				}
+			},
+			"check": func(t *rapid.T) {
+				id := attempt(t)
+				if model[id] == 0 {
+					model[id] = schema.Progress_PROGRESS_FENCED
+				}
+				if got := f.Check(id); got != model[id] {
+					t.Fatalf("check of %s: %v, want %v", id, got, model[id])
+				}
+			},
+		})
+	})
+}
+
+func attempt(t *rapid.T) string { return fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "id")) }
+
+func TestRetention(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := fencer.New()
+		g.Expect(f.Begin("a")).To(BeTrue())
+		f.End("a")
+		g.Expect(f.Check("b")).To(Equal(schema.Progress_PROGRESS_FENCED))
+		time.Sleep(fencer.Retention - time.Second)
+		g.Expect(f.Check("a")).To(Equal(schema.Progress_PROGRESS_DONE))
+		time.Sleep(8 * time.Minute)
+		g.Expect(f.Begin("b")).To(BeFalse(), "a fence outlasts ended attempts")
+	})
+}
+
+func BenchmarkBeginEnd(b *testing.B) {
+	f := fencer.New()
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		id := fmt.Sprint(i)
+		f.Begin(id)
+		f.End(id)
+	}
+}
--- /dev/null
+++ b/resolver/resolver_test.go
@@ -0,0 +1,91 @@
+package resolver_test
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"quetzalhub/resolver"
+	"quetzalhub/schema"
+)
+
+// compiled returns a snapshot with a number of workspaces and routes.
+func compiled(t testing.TB, count int) *resolver.Snapshot {
+	config := &schema.Config{}
+	for i := range count {
+		digest := resolver.DigestOf(fmt.Sprintf("key-%d", i))
+		w := &schema.Workspace{Name: fmt.Sprintf("workspace-%d", i), Rate: 1, Burst: 1, Keys: []*schema.Key{{Digest: digest[:]}}}
+		config.Workspaces = append(config.Workspaces, w)
+		r := &schema.Route{Prefix: fmt.Sprintf("/service-%d/orders", i), Service: "orders"}
+		config.Routes = append(config.Routes, r)
+	}
+	withdrawn := resolver.DigestOf("withdrawn")
+	config.Workspaces[0].Keys = append(config.Workspaces[0].Keys, &schema.Key{Digest: withdrawn[:], Withdrawn: timestamppb.Now()})
+	config.Routes = append(
+		config.Routes,
+		&schema.Route{Prefix: "/", Service: "front"},
+		&schema.Route{Prefix: "/service-1/orders", Methods: []string{"POST"}, Service: "unreachable"},
+		&schema.Route{Prefix: "/files", Methods: []string{"GET"}, Service: "files"},
+	)
+	raw, err := proto.Marshal(&schema.State{Version: 1, Config: config})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := resolver.Compile(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func TestRoutes(t *testing.T) {
+	s := compiled(t, 3)
+	cases := map[string]struct{ method, path, service string }{
+		"exact":              {"GET", "/service-2/orders", "orders"},
+		"below":              {"GET", "/service-2/orders/7/lines", "orders"},
+		"trailing slash":     {"GET", "/service-2/orders/", "orders"},
+		"not a path element": {"GET", "/service-2/orderseven", "front"},
+		"other method":       {"POST", "/files/1", "front"},
+		"method":             {"GET", "/files/1", "files"},
+		"root":               {"GET", "/", "front"},
+		"empty":              {"GET", "", "front"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			r, ok := s.Route(c.method, c.path)
+			g.Expect(ok).To(BeTrue())
+			g.Expect(r.Service).To(Equal(c.service))
+		})
+	}
+}
+
+func TestKeys(t *testing.T) {
+	g := NewWithT(t)
+	s := compiled(t, 3)
+	grant, ok := s.Key("key-2")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(grant).To(Equal(resolver.Grant{Workspace: "workspace-2"}))
+	grant, ok = s.Key("withdrawn")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(grant.Withdrawn).To(BeTrue())
+	_, ok = s.Key("key-3")
+	g.Expect(ok).To(BeFalse())
+}
+
+// BenchmarkLookUp shows that look-ups do not depend on the configuration's size.
+func BenchmarkLookUp(b *testing.B) {
+	for _, count := range []int{10, 1000, 100000} {
+		s := compiled(b, count)
+		b.Run(fmt.Sprintf("%d workspaces and routes", count), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Key("key-7")
+				s.Route("GET", "/service-7/orders/12/lines/3")
+			}
+		})
+	}
+}
--- a/server/node.go
+++ b/server/node.go
@@ -14,6 +14,7 @@
 	"go.uber.org/fx"
 
 	"quetzalhub/announcer"
+	"quetzalhub/balancer"
 	"quetzalhub/caller"
 	"quetzalhub/certifier"
 	"quetzalhub/confirmer"
@@ -62,6 +63,7 @@
 	Limiter   *limiter.Limiter
 	Lender    *lender.Lender
 	Announcer *announcer.Announcer
+	Balancer  *balancer.Balancer
 	Watcher   *watcher.Watcher
 	Responder *responder.Responder
 	Traffic   *traffic
@@ -97,7 +99,7 @@
 		return errors.Trace(err)
 	}
 	mover := newMover(n.parts, n.logger)
-	loops := []func(context.Context){mover.run, n.parts.Gossiper.Run, n.parts.Caller.Run, n.parts.Watcher.Run, n.parts.Limiter.Run, n.parts.Announcer.Run}
+	loops := []func(context.Context){mover.run, n.parts.Balancer.Run, n.parts.Gossiper.Run, n.parts.Caller.Run, n.parts.Watcher.Run, n.parts.Limiter.Run, n.parts.Announcer.Run}
 	for _, loop := range loops {
 		n.group.Go(func() { loop(ctx) })
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -58,6 +58,7 @@
 		newCaller,
 		newLimiter,
 		newAnnouncer,
+		newBalancer,
 		newWatcher,
 		newDeduplicator,
 		newResponder,
@@ -177,6 +178,10 @@
 	})
 }
 
+func newBalancer(s *schema.Settings, g *gossiper.Gossiper) *balancer.Balancer {
+	return balancer.New(g, s.GetNode().GetRegion())
+}
+
 func newWatcher(s *schema.Settings, store storer.Store, c *confirmer.Confirmer, g *gossiper.Gossiper, logger *log.Logger) *watcher.Watcher {
 	node := s.GetNode()
 	edit := editor.New(store, "node "+node.GetName())
@@ -220,6 +225,7 @@
 	Limiter   *limiter.Limiter
 	Caller    *caller.Caller
 	Announcer *announcer.Announcer
+	Balancer  *balancer.Balancer
 	Fencer    *fencer.Fencer
 	Keys      *deduplicator.Deduplicator
 }
@@ -228,7 +234,7 @@
 	settings := p.Settings.GetTraffic()
 	options := forwarder.DispatcherOptions{
 		Identity:  p.Gossiper,
-		Picker:    balancer.New(p.Gossiper, p.Settings.GetNode().GetRegion()),
+		Picker:    p.Balancer,
 		Throttle:  tracker.NewThrottle(),
 		Checker:   p.Caller,
 		Transport: forwarder.NewTransport(p.Security.client()),
