--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -15,6 +15,7 @@
 }
 
 echo "== start: platform, 6 nodes in 3 failure domains, 3 services calling each other"
+make_certificates 6
 start_platform
 for n in 1 2 3 4 5 6; do
   start_node $n "domain-$(((n - 1) % 3 + 1))"
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -23,6 +23,20 @@
   PIDS=()
 }
 
+# make_certificates COUNT issues certificates for node-1 to node-COUNT and an
+# operator; the nodes started afterwards use them.
+make_certificates() {
+  "$BIN/quetzal-standin" authority -folder "$RUN" $(seq -f 'node-%.0f' "$1")
+}
+
+# tls_settings NUMBER prints the [tls] section of a node, if there are
+# certificates.
+tls_settings() {
+  [ -f "$RUN/authority.crt" ] || return 0
+  printf '[tls]\ncertificate = %s\nkey = %s\nauthority = %s\n' \
+    "$RUN/node-$1.crt" "$RUN/node-$1.key" "$RUN/authority.crt"
+}
+
 start_platform() {
   start_process platform "$BIN/quetzal-standin" platform -listen $PLATFORM
 }
@@ -45,6 +59,7 @@
 address = $PLATFORM
 [gossip]
 secret = a-secret-for-loopback-only
+$(tls_settings "$number")
 $extra
 INI
   start_process "node-$number" "$BIN/quetzald" -settings "$RUN/node-$number.ini"
@@ -60,7 +75,9 @@
 }
 
 ctl() {
-  "$BIN/quetzalctl" -platform $PLATFORM -node 127.0.0.1:10013 "$@"
+  local certificates=()
+  [ -f "$RUN/authority.crt" ] && certificates=(-certificate "$RUN/operator.crt" -key "$RUN/operator.key" -authority "$RUN/authority.crt")
+  "$BIN/quetzalctl" "${certificates[@]}" -platform $PLATFORM -node 127.0.0.1:10013 "$@"
 }
 
 # await_hosts N waits until node-1 sees N live hosts, at most 20 s.
--- a/scripts/latency.sh
+++ b/scripts/latency.sh
@@ -12,6 +12,7 @@
   POLICY=$1
   RUN=$(mktemp -d)
   . scripts/fleet.sh
+  [ "${TLS:-}" = yes ] && make_certificates 2
   start_platform
   start_node 1 domain-1
   start_node 2 domain-2
--- a/scripts/overload.sh
+++ b/scripts/overload.sh
@@ -83,6 +83,7 @@
   POLICY=$1
   RUN=$(mktemp -d)
   . scripts/fleet.sh
+  make_certificates 8
   start_platform
   local n service slots time calls targets=""
   for n in 1 2 3 4 5 6 7 8; do
--- a/scripts/rolling.sh
+++ b/scripts/rolling.sh
@@ -7,6 +7,7 @@
 RUN=$(mktemp -d)
 . scripts/fleet.sh
 trap 'stop_fleet; rm -rf "$RUN"' EXIT
+make_certificates 6
 start_platform
 declare -A NODE
 for n in 1 2 3 4 5 6; do
