--- a/cmd/quetzal-load/main.go
+++ b/cmd/quetzal-load/main.go
@@ -3,7 +3,7 @@
 //
 // Usage:
 //
-//	quetzal-load [-json] -scenario FILE
+//	quetzal-load [-json] [-ledgers ADDRESSES] -scenario FILE
 //
 // The file has a section [load] with the keys duration, timeout, seed, useful
 // (the latency beyond which an answer is late), from and to (the bounds of a
@@ -28,6 +28,7 @@
 
 func main() {
 	file := flag.String("scenario", "", "read the load from this `file`")
+	ledgers := flag.String("ledgers", "", "compare with the ledgers of the stand-in upstreams at these `addresses`")
 	asJSON := flag.Bool("json", false, "print JSON")
 	flag.Parse()
 	scenario, err := driver.Load(*file)
@@ -35,12 +36,33 @@
 		fmt.Fprintln(os.Stderr, "quetzal-load:", err)
 		os.Exit(1)
 	}
-	results := driver.Run(context.Background(), scenario)
+	ctx := context.Background()
+	results := driver.Run(ctx, scenario)
 	if *asJSON {
 		_ = json.NewEncoder(os.Stdout).Encode(results)
 		return
 	}
 	print(results)
+	if *ledgers != "" {
+		os.Exit(audit(ctx, results, strings.Split(*ledgers, ",")))
+	}
+}
+
+// audit compares the results with the upstreams' ledgers and returns the exit
+// code.
+func audit(ctx context.Context, results []driver.Result, addresses []string) int {
+	runs, err := driver.Ledgers(ctx, addresses)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "quetzal-load:", err)
+		return 1
+	}
+	a := driver.Examine(results, runs)
+	fmt.Printf("audit: %d requests, %d answered, %d not run, %d unknown; ran twice: %d %v; called not run and ran: %d %v; answered and never ran: %d %v\n",
+		a.Requests, a.Answered, a.NotRun, a.Unknown, len(a.Twice), a.Twice, len(a.False), a.False, len(a.Missing), a.Missing)
+	if !a.Clean() {
+		return 3
+	}
+	return 0
 }
 
 // phases returns the goodput columns of a result.
