--- a/lender/book.go
+++ b/lender/book.go
@@ -110,6 +110,19 @@
 	return loan
 }
 
+// confirm records a loan made before the holder lends and lets it go on as it is.
+func (b *book) confirm(id borrowerID, d *schema.Demand) *schema.Loan {
+	b.entries[id] = &entry{demand: d.GetRate(), rate: d.GetHeld(), limit: d.GetCap()}
+	return &schema.Loan{
+		Workspace: d.GetWorkspace(),
+		Rate:      d.GetHeld(),
+		Cap:       d.GetCap(),
+		Former:    true,
+		Refresh:   durationpb.New(tightRefresh),
+		Pause:     durationpb.New(tightRefresh),
+	}
+}
+
 // resizeRate returns the rate that the borrower may hold from now on.
 func (b *book) resizeRate(e *entry) float64 {
 	target := b.fairRate(e.demand)
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -11,8 +11,8 @@
 //	l := lender.New("node-1", confirmer, freshness)
 //	resp, err := l.Borrow(req)
 //
-// A lender starts to lend only when no loan of the term before can be in use
-// any more. The loans of a borrower that failed are taken back once its
+// A new holder lets loans of the term before go on as they are, and starts to
+// lend more only when no other loan of that term can be in use any more. The loans of a borrower that failed are taken back once its
 // incarnation is fenced in the state and the fence is in force at it.
 package lender
 
@@ -31,8 +31,8 @@
 var (
 	// ErrNotHolder reports that this node does not hold the shard's term.
 	ErrNotHolder = errors.New("this node does not hold the shard")
-	// ErrWaiting reports that loans of the term before may still be in use.
-	ErrWaiting = errors.New("the holder waits for earlier loans to end")
+	// ErrWaiting reports that the books of the shard are elsewhere.
+	ErrWaiting = errors.New("the holder waits for the next term")
 	// ErrOutdated reports a request that was overtaken by a later one.
 	ErrOutdated = errors.New("the request was overtaken")
 	// ErrFenced reports that the borrower's incarnation lost its loans.
@@ -189,7 +189,7 @@
 		return nil, ErrNotHolder
 	}
 	now := time.Now()
-	if now.Before(s.opens) {
+	if s.opens.Sub(now) > forever/2 {
 		return nil, ErrWaiting
 	}
 	id := borrowerID{req.GetBorrower(), req.GetIncarnation()}
@@ -200,6 +200,9 @@
 		return nil, ErrOutdated
 	}
 	s.numbers[id] = req.GetNumber()
+	if now.Before(s.opens) {
+		return s.confirm(id, req, snapshot, now), nil
+	}
 	l.release(s, now)
 	resp := &schema.BorrowResponse{Version: snapshot.Version()}
 	for _, d := range req.GetDemands() {
@@ -212,6 +215,19 @@
 	return resp, nil
 }
 
+// confirm lets loans of the term before go on under this one, as they are. They
+// are parts of one division of the rate, so all of them together stay within it;
+// nothing is lent beyond them until no other loan of that term can be in use.
+func (s *shard) confirm(id borrowerID, req *schema.BorrowRequest, snapshot *resolver.Snapshot, now time.Time) *schema.BorrowResponse {
+	resp := &schema.BorrowResponse{Version: snapshot.Version()}
+	for _, d := range req.GetDemands() {
+		if limit, ok := snapshot.Limit(d.GetWorkspace()); ok {
+			resp.Loans = append(resp.Loans, s.book(d.GetWorkspace(), limit, now).confirm(id, d))
+		}
+	}
+	return resp
+}
+
 // release takes back the loans of fenced borrowers whose grace has passed.
 func (l *Lender) release(s *shard, now time.Time) {
 	for id, at := range l.releases {
--- a/lender/sharing_test.go
+++ b/lender/sharing_test.go
@@ -190,6 +190,31 @@
 	})
 }
 
+// TestHolderKilled kills the holder under load; another host takes its shards
+// over three seconds later.
+func TestHolderKilled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const rate, burst = 200.0, 100.0
+		hosts := names(9)
+		f := newFleet(t, 5, rate, burst, false, hosts...)
+		time.Sleep(time.Second)
+		pick := patterns(hosts[1:])["all hosts"]
+		f.load(rate, burst, rate/2, 5*time.Second, pick, f.request)
+		f.kill(hosts[0])
+		time.AfterFunc(3*time.Second, func() {
+			f.write(func(s *schema.State) {
+				s.Fences = append(s.Fences, &schema.Fence{Name: hosts[0], Incarnation: 1})
+				reassign(s, hosts[0], hosts[1], 1)
+			})
+		})
+		o := f.load(rate, burst, rate/2, 15*time.Second, pick, f.request)
+		t.Logf("refused in rate in the 15 s after the holder was killed: %.2f%%", 100*o.inRateRefused())
+		g.Expect(f.worstExcess(rate, burst)).To(BeNumerically("<=", 1e-6))
+		g.Expect(o.inRateRefused()).To(BeNumerically("<=", 0.05))
+	})
+}
+
 // TestLoweredRate checks that a lowered rate holds once it is in force.
 func TestLoweredRate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/limiter/account.go
+++ b/limiter/account.go
@@ -28,6 +28,11 @@
 	// until ends the use of a loan whose term is over.
 	until   time.Time
 	waiters []*waiter
+	// unanswered is true from a report until its answer. While the holder does
+	// not answer, nothing is given back, since it could not be had again.
+	unanswered bool
+	// frozen is true while the holder lets loans go on but lends nothing new.
+	frozen bool
 	// voided is true if the loan was given up after the last report.
 	voided bool
 	// wanted is the number of tokens asked for in the last report.
@@ -38,6 +43,8 @@
 	arrivals int
 	demand   float64
 	measured time.Time
+	// missed is the number of arrivals expected since the last one.
+	missed   float64
 	reported float64
 	told     time.Time
 	refresh  time.Duration
@@ -133,9 +140,13 @@
 		return
 	}
 	rate := float64(a.arrivals) / elapsed.Seconds()
+	a.missed += a.demand * elapsed.Seconds()
+	if a.arrivals > 0 {
+		a.missed = 0
+	}
 	weight := 1 - math.Exp(-float64(elapsed)/float64(smoothing(max(a.demand, rate))))
 	a.demand += weight * (rate - a.demand)
-	if expected := a.demand * elapsed.Seconds(); rate == 0 && expected > silentArrivals {
+	if a.missed > silentArrivals {
 		a.demand = 0
 	}
 	if a.demand < minDrift/10 {
@@ -194,9 +205,10 @@
 	defer a.mu.Unlock()
 	fallen := a.demand < a.reported*(1-drift)
 	returned := 0.0
-	if fallen && a.term == term {
+	if fallen && a.term == term && !a.unanswered && !a.frozen {
 		returned = a.shrink(now)
 	}
+	a.unanswered = true
 	a.told = now
 	a.voided = false
 	a.reported = a.demand
@@ -205,7 +217,8 @@
 		d.Tokens += a.bucket.Cap - a.bucket.Tokens
 	}
 	a.wanted = d.GetTokens()
-	if a.term == term {
+	d.Former = a.former(now, term)
+	if a.term == term || d.Former {
 		d.Held = a.bucket.Rate
 		d.Cap = a.bucket.Cap
 		d.Returned = returned
@@ -213,6 +226,12 @@
 	return d
 }
 
+// former tells whether the loan was made under the term before the given one and
+// may still be used; the caller holds the lock.
+func (a *account) former(now time.Time, term uint64) bool {
+	return a.term > 0 && a.term+1 == term && now.Before(a.until)
+}
+
 // shrink lowers the loan in proportion to demand that has fallen and returns
 // the tokens that no longer fit; the caller holds the lock.
 func (a *account) shrink(now time.Time) float64 {
@@ -228,17 +247,28 @@
 func (a *account) apply(loan *schema.Loan, term uint64, current bool, c Confirmer) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.unanswered = false
 	if a.voided {
 		return
 	}
 	now := time.Now()
+	a.frozen = loan.GetFormer()
+	a.refresh = loan.GetRefresh().AsDuration()
+	a.pause = loan.GetPause().AsDuration()
 	rate, limit := loan.GetRate(), loan.GetCap()
 	if !current {
 		// The holder has not seen the present state, which may lend less.
 		rate = min(rate, a.bucket.Rate)
 		limit = min(limit, a.bucket.Cap)
 	}
-	if a.term != term {
+	switch {
+	case a.term == term:
+	case loan.GetFormer() && a.former(now, term):
+		a.term = term
+	case loan.GetFormer():
+		// The loan ended while the answer was on its way.
+		return
+	default:
 		a.bucket = Bucket{Updated: now}
 		a.term = term
 	}
@@ -251,8 +281,6 @@
 	}
 	a.bucket.Tokens = min(a.bucket.Cap, a.bucket.Tokens+tokens)
 	a.serve(now, c)
-	a.refresh = loan.GetRefresh().AsDuration()
-	a.pause = loan.GetPause().AsDuration()
 	if lowered {
 		// Frees at the holder what is no longer held here.
 		a.refresh = reportPause
--- a/limiter/options.go
+++ b/limiter/options.go
@@ -10,9 +10,9 @@
 	smoothingArrivals = 20
 	minSmoothing      = 100 * time.Millisecond
 	maxSmoothing      = time.Second
-	// silentArrivals is the number of arrivals expected in a tick of which none
-	// came, at which demand is taken to have gone elsewhere.
-	silentArrivals = 4
+	// silentArrivals is the number of arrivals expected of which none came, at
+	// which demand is taken to have gone elsewhere.
+	silentArrivals = 8
 	// drift is the relative change of demand that is reported.
 	drift = 0.2
 	// minDrift is the smallest reported change of demand in requests per second.
