--- a/announcer/announcer.go
+++ b/announcer/announcer.go
@@ -32,6 +32,7 @@
 	"quetzalhub/guard"
 	"quetzalhub/refuser"
 	"quetzalhub/schema"
+	"quetzalhub/util/repeater"
 )
 
 const (
@@ -156,18 +157,11 @@
 
 // Run removes lapsed announcements until the context ends.
 func (a *Announcer) Run(ctx context.Context) {
-	ticker := time.NewTicker(sweep)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if a.removeLapsed() {
-				a.publish()
-			}
+	repeater.Run(ctx, sweep, func() {
+		if a.removeLapsed() {
+			a.publish()
 		}
-	}
+	})
 }
 
 func (a *Announcer) removeLapsed() bool {
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -25,6 +25,7 @@
 
 	"quetzalhub/gossiper"
 	"quetzalhub/schema"
+	"quetzalhub/util/repeater"
 	"quetzalhub/util/set"
 )
 
@@ -174,16 +175,7 @@
 
 // Run forgets nodes that are no longer in the fleet, until the context ends.
 func (b *Balancer) Run(ctx context.Context) {
-	ticker := time.NewTicker(forgetInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			b.forget()
-		}
-	}
+	repeater.Run(ctx, forgetInterval, b.forget)
 }
 
 func (b *Balancer) forget() {
--- a/cmd/quetzal-load/main.go
+++ b/cmd/quetzal-load/main.go
@@ -42,7 +42,7 @@
 		_ = json.NewEncoder(os.Stdout).Encode(results)
 		return
 	}
-	print(results)
+	printTable(results)
 	if *ledgers != "" {
 		os.Exit(audit(ctx, results, strings.Split(*ledgers, ",")))
 	}
@@ -77,7 +77,7 @@
 	return fmt.Sprintf("%.0f/s\t%.0f/s\t%.0f/s\t%s", p.Before, p.During, p.After, recovery)
 }
 
-func print(results []driver.Result) {
+func printTable(results []driver.Result) {
 	w := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "STREAM\tSENT\tATTEMPTS\tANSWERED\tWRONG\tP50\tP99\tP99.9\tBEFORE\tDURING\tAFTER\tRECOVERY\tFAILED")
 	for _, r := range results {
--- a/forwarder/entry.go
+++ b/forwarder/entry.go
@@ -32,13 +32,13 @@
 	admitter   Admitter
 	dispatcher *Dispatcher
 	homes      Homes
-	shedder    *Shedder
+	shedder    *shedder
 	refuser    *refuser.Refuser
 }
 
 // NewEntry returns the handler for callers.
 func NewEntry(o EntryOptions, s State, a Admitter, d *Dispatcher, h Homes, r *refuser.Refuser) *Entry {
-	return &Entry{options: o, state: s, admitter: a, dispatcher: d, homes: h, shedder: NewShedder(), refuser: r}
+	return &Entry{options: o, state: s, admitter: a, dispatcher: d, homes: h, shedder: newShedder(), refuser: r}
 }
 
 // ServeHTTP admits a request and answers it.
@@ -72,7 +72,7 @@
 		return nil, err
 	}
 	rank := mathrand.Uint32N(guard.RankLimit)
-	if !e.shedder.Admits(route, guard.Priority(route.Class, rank)) {
+	if !e.shedder.admits(route, guard.Priority(route.Class, rank)) {
 		return nil, &refuser.Error{Code: refuser.ShedAtEntry, Detail: refuser.Detail{Retry: time.Second}}
 	}
 	if !route.Open {
@@ -110,7 +110,7 @@
 func (e *Entry) dispatch(ctx context.Context, call *Call) (*entryAnswer, error) {
 	ctx, cancel := context.WithDeadline(ctx, call.Parent.Deadline)
 	answer, err := e.dispatcher.Do(ctx, call)
-	e.shedder.Learn(call.Route, call.Parent.Pressure.Level())
+	e.shedder.learn(call.Route, call.Parent.Pressure.Level())
 	if err != nil {
 		cancel()
 		return nil, err
--- a/forwarder/shedder.go
+++ b/forwarder/shedder.go
@@ -15,9 +15,9 @@
 	shedHalfLife = time.Second
 )
 
-// Shedder refuses requests at the entry that would be shed below, by the
+// shedder refuses requests at the entry that would be shed below, by the
 // levels that travelled back with earlier answers of the same route.
-type Shedder struct {
+type shedder struct {
 	mu     sync.RWMutex
 	levels map[shedKey]*shedLevel
 }
@@ -33,19 +33,19 @@
 	learned time.Time
 }
 
-// NewShedder returns a shedder that refuses nothing.
-func NewShedder() *Shedder { return &Shedder{levels: map[shedKey]*shedLevel{}} }
+// newShedder returns a shedder that refuses nothing.
+func newShedder() *shedder { return &shedder{levels: map[shedKey]*shedLevel{}} }
 
-// Admits tells whether a priority is likely to pass.
-func (s *Shedder) Admits(r *resolver.Route, priority uint32) bool {
+// admits tells whether a priority is likely to pass.
+func (s *shedder) admits(r *resolver.Route, priority uint32) bool {
 	l := s.level(r)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return float64(priority) >= math.Floor(l.decayed(time.Now()))
 }
 
-// Learn records the level that came back with an answer.
-func (s *Shedder) Learn(r *resolver.Route, level uint32) {
+// learn records the level that came back with an answer.
+func (s *shedder) learn(r *resolver.Route, level uint32) {
 	l := s.level(r)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -63,7 +63,7 @@
 	return l.mean * math.Exp2(-float64(age)/float64(shedHalfLife))
 }
 
-func (s *Shedder) level(r *resolver.Route) *shedLevel {
+func (s *shedder) level(r *resolver.Route) *shedLevel {
 	key := shedKey{r.Prefix, r.Service}
 	s.mu.RLock()
 	l := s.levels[key]
--- a/gossiper/packet.go
+++ b/gossiper/packet.go
@@ -53,6 +53,7 @@
 	for _, m := range p.GetUpdates() {
 		g.merge(m)
 	}
+	g.heard(p)
 	if p.GetVersion() > g.confirmer.Version() {
 		g.puller.Fetch(p.GetFrom())
 	}
@@ -99,6 +100,15 @@
 	g.compare(p.GetFrom(), ack.GetDigest())
 }
 
+// heard puts the failure of a suspect node off that was heard from itself.
+func (g *Gossiper) heard(p *schema.Packet) {
+	m := g.sender(p)
+	r := g.table[m.GetName()]
+	if r != nil && r.member.GetStatus() == schema.Status_STATUS_SUSPECT && r.member.GetIncarnation() == m.GetIncarnation() {
+		r.changed = time.Now()
+	}
+}
+
 // sender returns the record of the node that sent a packet.
 func (g *Gossiper) sender(p *schema.Packet) *schema.Member {
 	for _, m := range p.GetUpdates() {
@@ -129,8 +139,8 @@
 		return
 	}
 	if r := g.table[m.GetName()]; r != nil && !newer(m, r.member) {
-		if r.member.GetStatus() != schema.Status_STATUS_ALIVE {
-			// The node may not know that it is held suspect or failed.
+		if newer(r.member, m) {
+			// The sender has an older record; it gets this one in return.
 			r.sends = max(r.sends, 1)
 		}
 		return
@@ -153,6 +163,8 @@
 		self.Sequence = max(self.GetSequence(), m.GetSequence())
 		self.Status = left
 	})
+	// Others must hear of it before their suspicion ends.
+	g.pingSome()
 }
 
 // change alters the record of this node and passes it on.
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -30,6 +30,7 @@
 	"quetzalhub/refuser"
 	"quetzalhub/resolver"
 	"quetzalhub/schema"
+	"quetzalhub/util/repeater"
 )
 
 // Shards is the number of parts into which the workspaces are divided. It is
@@ -94,24 +95,11 @@
 	for _, b := range l.borrowers {
 		group.Go(func() { b.loop(ctx) })
 	}
-	group.Go(func() { l.loop(ctx) })
+	group.Go(func() { repeater.Run(ctx, tick, l.nudgeUsed) })
 	group.Wait()
 }
 
-// loop wakes the borrowers of shards in which this node has accounts.
-func (l *Limiter) loop(ctx context.Context) {
-	ticker := time.NewTicker(tick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			l.nudgeUsed()
-		}
-	}
-}
-
+// nudgeUsed wakes the borrowers of shards in which this node has accounts.
 func (l *Limiter) nudgeUsed() {
 	l.mu.RLock()
 	defer l.mu.RUnlock()
--- a/server/mover.go
+++ b/server/mover.go
@@ -10,6 +10,7 @@
 	"quetzalhub/assigner"
 	"quetzalhub/editor"
 	"quetzalhub/schema"
+	"quetzalhub/util/repeater"
 )
 
 const (
@@ -38,16 +39,7 @@
 }
 
 func (m *mover) run(ctx context.Context) {
-	ticker := time.NewTicker(moveInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			m.step(ctx)
-		}
-	}
+	repeater.Run(ctx, moveInterval, func() { m.step(ctx) })
 }
 
 // step moves or frees at most one shard, so that moves are spread in time.
