--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -11,7 +11,7 @@
 //
 // # Usage
 //
-//	a := assigner.New(editor, directory, name)
+//	a := assigner.New(editor, directory)
 //	a.Step(ctx, state, place, silent)
 package assigner
 
@@ -33,6 +33,8 @@
 	// fenceMemory is the time for which fences are kept in the state. It is
 	// longer than lost nodes are remembered, so that each is fenced once.
 	fenceMemory = 3 * time.Hour
+	// completion is the time after which a node's table lists all others.
+	completion = time.Minute
 	// turn is the time that each watcher leaves to those before it.
 	turn = 3 * time.Second
 )
@@ -51,14 +53,14 @@
 type Assigner struct {
 	editor    Editor
 	directory Directory
-	domain    string
 	// pending is the time since which something was to be written.
 	pending time.Time
+	started time.Time
 }
 
-// New returns an assigner for a node of a failure domain.
-func New(e Editor, d Directory, domain string) *Assigner {
-	return &Assigner{editor: e, directory: d, domain: domain}
+// New returns an assigner.
+func New(e Editor, d Directory) *Assigner {
+	return &Assigner{editor: e, directory: d, started: time.Now()}
 }
 
 // Step writes what has to change in the state, if it is this node's turn.
@@ -110,7 +112,7 @@
 	failed := a.failed(view, lost)
 	fenced := addFences(s, failed, time.Now())
 	pruned := pruneFences(s, time.Now())
-	assigned := assignShards(s, view, failed)
+	assigned := a.assignShards(s, view, failed)
 	return changed || fenced || pruned || assigned
 }
 
@@ -189,7 +191,7 @@
 	return changed
 }
 
-func assignShards(s *schema.State, view *gossiper.View, failed set.Set[gossiper.Start]) bool {
+func (a *Assigner) assignShards(s *schema.State, view *gossiper.View, failed set.Set[gossiper.Start]) bool {
 	held := map[uint32]*schema.Shard{}
 	for _, shard := range s.GetShards() {
 		held[shard.GetIndex()] = shard
@@ -197,7 +199,7 @@
 	changed := false
 	for index := range uint32(limiter.Shards) {
 		shard := held[index]
-		if shard != nil && !vacant(shard, view, failed) {
+		if shard != nil && !a.vacant(shard, view, failed) {
 			continue
 		}
 		holder := Choose(view, index, "")
@@ -216,14 +218,15 @@
 	return changed
 }
 
-// vacant tells whether the holder of a shard is gone.
-func vacant(shard *schema.Shard, view *gossiper.View, failed set.Set[gossiper.Start]) bool {
+// vacant tells whether the holder of a shard is gone. One that nobody has heard
+// of, such as a node of an earlier fleet, is gone once the table is complete.
+func (a *Assigner) vacant(shard *schema.Shard, view *gossiper.View, failed set.Set[gossiper.Start]) bool {
 	if failed.Has(gossiper.Start{Name: shard.GetHolder(), Incarnation: shard.GetIncarnation()}) {
 		return true
 	}
 	m := view.Members[shard.GetHolder()]
 	if m == nil {
-		return false
+		return time.Since(a.started) > completion
 	}
 	return m.GetStatus() == schema.Status_STATUS_LEFT || m.GetIncarnation() > shard.GetIncarnation()
 }
--- /dev/null
+++ b/assigner/assigner_test.go
@@ -0,0 +1,168 @@
+package assigner_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"quetzalhub/assigner"
+	"quetzalhub/gossiper"
+	"quetzalhub/limiter"
+	"quetzalhub/schema"
+	"quetzalhub/util/set"
+)
+
+const (
+	alive  = schema.Status_STATUS_ALIVE
+	left   = schema.Status_STATUS_LEFT
+	failed = schema.Status_STATUS_FAILED
+)
+
+// fleet is a member table and a state, both given to the assigner.
+type fleet struct {
+	members  map[string]*schema.Member
+	replaced []gossiper.Start
+	state    *schema.State
+	writes   int
+}
+
+func (f *fleet) View() *gossiper.View {
+	v := gossiper.NewView(f.members)
+	v.Replaced = f.replaced
+	return v
+}
+
+// Edit changes the state in place.
+func (f *fleet) Edit(_ context.Context, change func(*schema.State) error) (uint64, error) {
+	if err := change(f.state); err != nil {
+		return 0, err
+	}
+	f.writes++
+	f.state.Version++
+	return f.state.GetVersion(), nil
+}
+
+// newFleet returns three domains of four nodes with assigned shards.
+func newFleet(g *WithT) *fleet {
+	f := &fleet{members: map[string]*schema.Member{}, state: &schema.State{Version: 1}}
+	for i := range 12 {
+		name := fmt.Sprintf("node-%d", i)
+		f.members[name] = &schema.Member{Name: name, Domain: string(rune('a' + i%3)), Incarnation: 1, Status: alive}
+	}
+	g.Expect(f.step(0)).To(Succeed())
+	g.Expect(f.state.GetShards()).To(HaveLen(limiter.Shards))
+	g.Expect(f.state.GetDomains()).To(ConsistOf("a", "b", "c"))
+	return f
+}
+
+func (f *fleet) step(place int, lost ...string) error {
+	return assigner.New(f, f).Step(context.Background(), f.state, place, set.Of(lost...))
+}
+
+// fail marks all nodes of a domain.
+func (f *fleet) fail(domain string) {
+	for _, m := range f.members {
+		if m.GetDomain() == domain {
+			m.Status = failed
+		}
+	}
+}
+
+func (f *fleet) fenced() int { return len(f.state.GetFences()) }
+
+// heldBy counts the shards of a node.
+func (f *fleet) heldBy(name string) int {
+	n := 0
+	for _, s := range f.state.GetShards() {
+		if s.GetHolder() == name {
+			n++
+		}
+	}
+	return n
+}
+
+func TestJudgements(t *testing.T) {
+	holder := func(f *fleet) string { return f.state.GetShards()[0].GetHolder() }
+	cases := map[string]struct {
+		happens func(f *fleet)
+		lost    []string
+		fences  int
+		// moved tells whether the first shard gets a new holder.
+		moved bool
+	}{
+		"nothing":              {func(*fleet) {}, nil, 0, false},
+		"holder failed":        {func(f *fleet) { f.members[holder(f)].Status = failed }, nil, 1, true},
+		"holder left":          {func(f *fleet) { f.members[holder(f)].Status = left }, nil, 0, true},
+		"holder suspect":       {func(f *fleet) { f.members[holder(f)].Status = schema.Status_STATUS_SUSPECT }, nil, 0, false},
+		"holder restarted":     {func(f *fleet) { f.members[holder(f)].Incarnation = 2 }, nil, 0, true},
+		"restarted, no notice": {func(f *fleet) { f.replaced = []gossiper.Start{{Name: "node-1", Incarnation: 1}} }, nil, 1, false},
+		"domain cut off":       {func(f *fleet) { f.fail(f.members[holder(f)].GetDomain()) }, nil, 0, false},
+		"domain lost":          {func(f *fleet) { f.fail(f.members[holder(f)].GetDomain()) }, []string{"a", "b", "c"}, 4, true},
+		"this host is cut off": {func(f *fleet) {
+			for name, m := range f.members {
+				if name != "node-0" {
+					m.Status = failed
+				}
+			}
+		}, []string{"a", "b", "c"}, 0, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFleet(g)
+			c.happens(f)
+			g.Expect(f.step(0, c.lost...)).To(Succeed())
+			g.Expect(f.fenced()).To(Equal(c.fences))
+			g.Expect(f.state.GetShards()[0].GetTerm() > 1).To(Equal(c.moved))
+			writes := f.writes
+			g.Expect(f.step(0, c.lost...)).To(Succeed())
+			g.Expect(f.writes).To(Equal(writes), "a second look has nothing to write")
+		})
+	}
+}
+
+// TestTurns lets a later watcher write only if the first one does not.
+func TestTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(g)
+		f.members["node-1"].Status = failed
+		second := assigner.New(f, f)
+		none := set.Of[string]()
+		g.Expect(second.Step(context.Background(), f.state, 2, none)).To(Succeed())
+		g.Expect(f.fenced()).To(Equal(0))
+		time.Sleep(7 * time.Second)
+		g.Expect(second.Step(context.Background(), f.state, 2, none)).To(Succeed())
+		g.Expect(f.fenced()).To(Equal(1))
+	})
+}
+
+// TestHolderOfAnEarlierFleet frees shards whose holder nobody knows.
+func TestHolderOfAnEarlierFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(g)
+		f.state.Shards[0].Holder = "node-of-last-year"
+		a := assigner.New(f, f)
+		g.Expect(a.Step(context.Background(), f.state, 0, set.Of[string]())).To(Succeed())
+		g.Expect(f.state.GetShards()[0].GetTerm()).To(Equal(uint64(1)), "the table may not be complete yet")
+		time.Sleep(2 * time.Minute)
+		g.Expect(a.Step(context.Background(), f.state, 0, set.Of[string]())).To(Succeed())
+		g.Expect(f.state.GetShards()[0].GetTerm()).To(Equal(uint64(2)))
+	})
+}
+
+// TestSpread checks that shards are spread over the nodes.
+func TestSpread(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(g)
+	most := 0
+	for name := range f.members {
+		most = max(most, f.heldBy(name))
+	}
+	g.Expect(most).To(BeNumerically("<=", 5))
+}
