Mend a data race in admission and races in test fleets

Cause, found by the race detector: Admit read whether its waiter had been granted a token without the account's lock, while the borrower could grant it. A token could not be lost or doubled by it, but the read was undefined. take now tells whether it granted.

--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -179,6 +179,6 @@
 		t.Logf("oldest confirmation among 200 nodes: %v", oldest)
 		n.set(func() { n.bytes = 0 })
 		time.Sleep(time.Minute)
-		t.Logf("payload sent: %.0f bytes/s a node", float64(n.bytes)/60/200)
+		n.set(func() { t.Logf("payload sent: %.0f bytes/s a node", float64(n.bytes)/60/200) })
 	})
 }
--- a/lender/fleet_test.go
+++ b/lender/fleet_test.go
@@ -45,6 +45,19 @@
 	dead   bool
 }
 
+// start returns the incarnation.
+func (h *host) start() uint64 {
+	_, incarnation := h.Identity()
+	return incarnation
+}
+
+// isDead tells whether the host was killed.
+func (h *host) isDead() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.dead
+}
+
 func (h *host) Identity() (string, uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -122,11 +135,18 @@
 	return f
 }
 
+// draw returns a random number below n.
+func (f *fleet) draw(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rng.IntN(n)
+}
+
 // start adds a host with the present state.
 func (f *fleet) start(name string, incarnation uint64) *host {
 	h := &host{fleet: f, name: name, incarnation: incarnation, pause: lookPause}
 	if f.laggards {
-		h.pause = time.Duration(1+f.rng.IntN(8)) * lookPause
+		h.pause = time.Duration(1+f.draw(8)) * lookPause
 	}
 	h.confirmer = confirmer.New("a", freshness)
 	h.lender = lender.New(h, h.confirmer, freshness)
@@ -172,12 +192,12 @@
 	if holder != h.name {
 		time.Sleep(roundTrip / 2)
 	}
-	if to == nil || to.dead {
+	if to == nil || to.isDead() {
 		time.Sleep(20 * time.Millisecond)
 		return nil, errLost
 	}
 	if lostWay {
-		go to.receiveLate(proto.CloneOf(req), time.Duration(f.rng.IntN(3000))*time.Millisecond)
+		go to.receiveLate(proto.CloneOf(req), time.Duration(f.draw(3000))*time.Millisecond)
 		time.Sleep(20 * time.Millisecond)
 		return nil, errLost
 	}
@@ -219,9 +239,9 @@
 // kill ends a host without notice.
 func (f *fleet) kill(name string) {
 	h := f.host(name)
-	f.mu.Lock()
+	h.mu.Lock()
 	h.dead = true
-	f.mu.Unlock()
+	h.mu.Unlock()
 	h.cancel()
 }
 
@@ -229,7 +249,7 @@
 func (f *fleet) request(name string) bool {
 	h := f.host(name)
 	h.thaw()
-	if h.dead {
+	if h.isDead() {
 		return false
 	}
 	if err := h.limiter.Admit(f.ctx, workspace); err != nil {
@@ -313,6 +333,13 @@
 	return worst
 }
 
+// count returns the number of admissions.
+func (f *fleet) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.admitted)
+}
+
 // forget drops the history of admissions.
 func (f *fleet) forget() {
 	f.mu.Lock()
--- a/lender/misfortunes_test.go
+++ b/lender/misfortunes_test.go
@@ -11,22 +11,22 @@
 	started := time.Now()
 	incarnation := uint64(1)
 	for time.Since(started) < d && f.ctx.Err() == nil {
-		time.Sleep(time.Duration(2+f.rng.IntN(6)) * time.Second)
-		name := hosts[f.rng.IntN(len(hosts))]
-		switch f.rng.IntN(5) {
+		time.Sleep(time.Duration(2+f.draw(6)) * time.Second)
+		name := hosts[f.draw(len(hosts))]
+		switch f.draw(5) {
 		case 0:
 			incarnation++
 			f.replace(name, incarnation)
 		case 1:
-			f.freeze(name, time.Duration(1+f.rng.IntN(12))*time.Second)
+			f.freeze(name, time.Duration(1+f.draw(12))*time.Second)
 		case 2:
 			f.setLoss(0.3)
 			time.Sleep(2 * time.Second)
 			f.setLoss(0)
 		case 3:
-			f.handOver(name, hosts[f.rng.IntN(len(hosts))])
+			f.handOver(name, hosts[f.draw(len(hosts))])
 		case 4:
-			f.takeOver(hosts[f.rng.IntN(len(hosts))])
+			f.takeOver(hosts[f.draw(len(hosts))])
 		}
 	}
 }
@@ -42,7 +42,7 @@
 	old := f.host(name)
 	f.kill(name)
 	f.write(func(s *schema.State) {
-		s.Fences = append(s.Fences, &schema.Fence{Name: name, Incarnation: old.incarnation})
+		s.Fences = append(s.Fences, &schema.Fence{Name: name, Incarnation: old.start()})
 		reassign(s, name, name, incarnation)
 	})
 	f.start(name, incarnation)
@@ -54,10 +54,10 @@
 	h.setFrozen(true)
 	time.Sleep(time.Second)
 	f.write(func(s *schema.State) {
-		s.Fences = append(s.Fences, &schema.Fence{Name: name, Incarnation: h.incarnation})
+		s.Fences = append(s.Fences, &schema.Fence{Name: name, Incarnation: h.start()})
 		for other, o := range f.hosts {
-			if other != name && !o.dead {
-				reassign(s, name, other, o.incarnation)
+			if other != name && !o.isDead() {
+				reassign(s, name, other, o.start())
 				return
 			}
 		}
@@ -71,7 +71,7 @@
 	h := f.host(name)
 	f.write(func(s *schema.State) {
 		for _, shard := range s.GetShards() {
-			shard.Holder, shard.Incarnation, shard.Carried = name, h.incarnation, false
+			shard.Holder, shard.Incarnation, shard.Carried = name, h.start(), false
 			shard.Term++
 		}
 	})
@@ -92,7 +92,7 @@
 		f.write(func(s *schema.State) {
 			for _, shard := range s.GetShards() {
 				if shard.GetIndex() == index && shard.GetTerm()+1 == books.GetTerm() {
-					shard.Holder, shard.Incarnation = to, target.incarnation
+					shard.Holder, shard.Incarnation = to, target.start()
 					shard.Term, shard.Carried = books.GetTerm(), true
 				}
 			}
--- a/lender/sharing_test.go
+++ b/lender/sharing_test.go
@@ -131,7 +131,7 @@
 				time.Sleep(5 * time.Second)
 				go f.misfortunes(hosts, 3*time.Minute)
 				f.surges(hosts, 3*time.Minute)
-				admitted := len(f.admitted)
+				admitted := f.count()
 				t.Logf("admitted %d, worst excess %.2f", admitted, f.worstExcess(rate, burst))
 				g.Expect(f.worstExcess(rate, burst)).To(BeNumerically("<=", 1e-6))
 				g.Expect(float64(admitted)).To(BeNumerically(">", rate*180/4), "the fleet must go on admitting")
--- a/limiter/account.go
+++ b/limiter/account.go
@@ -56,25 +56,25 @@
 	return &account{workspace: workspace, limit: limit, patience: patience, measured: time.Now()}
 }
 
-// take returns a granted waiter, one to wait for, or none and the time after
-// which a token may be there.
-func (a *account) take(now time.Time, c Confirmer) (*waiter, time.Duration) {
+// take grants a token at once, or returns a waiter for one, or none and the time
+// after which there may be one.
+func (a *account) take(now time.Time, c Confirmer) (granted bool, w *waiter, wait time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.arrivals++
 	if len(a.waiters) == 0 && a.usable(now, c) && a.bucket.Take(now) {
-		return &waiter{granted: true}, 0
+		return true, nil, 0
 	}
 	if len(a.waiters) >= maxWaiters {
-		return nil, a.soonest()
+		return false, nil, a.soonest()
 	}
 	own, ok := a.bucket.Wait(float64(len(a.waiters) + 1))
 	if now.Before(a.dry) && (!ok || own > a.patience) {
-		return nil, a.soonest()
+		return false, nil, a.soonest()
 	}
-	w := &waiter{done: make(chan struct{})}
+	w = &waiter{done: make(chan struct{})}
 	a.waiters = append(a.waiters, w)
-	return w, 0
+	return false, w, 0
 }
 
 // usable tells whether tokens may be spent; the caller holds the lock.
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -118,13 +118,13 @@
 	if !ok {
 		return &refuser.Error{Code: refuser.KeyUnknown}
 	}
-	w, wait := a.take(time.Now(), l.confirmer)
+	granted, w, wait := a.take(time.Now(), l.confirmer)
+	if granted {
+		return nil
+	}
 	if w == nil {
 		return refusal(wait)
 	}
-	if w.granted {
-		return nil
-	}
 	l.borrowers[ShardOf(workspace)].nudge()
 	return l.await(ctx, a, w)
 }
