--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -12,7 +12,8 @@
 //
 // Control requests: PUT /control/time?value=50ms changes the service time,
 // PUT /control/drain announces that the upstream is leaving, GET
-// /control/ledger returns how often each request id ran.
+// /control/ledger returns how often each request id ran, GET
+// /control/load a load report that may mislead.
 package upstream
 
 import (
@@ -49,6 +50,8 @@
 	Local string
 	// Fail makes every request end with status 500.
 	Fail bool
+	// Mislead makes the load report show idle slots whatever the load.
+	Mislead bool
 	// Keep records every request with its headers, for searches by tests.
 	Keep bool
 }
@@ -98,6 +101,7 @@
 	r := mux.NewRouter()
 	r.HandleFunc("/control/time", u.setTime).Methods(http.MethodPut)
 	r.HandleFunc("/control/drain", u.drain).Methods(http.MethodPut)
+	r.HandleFunc("/control/load", u.load).Methods(http.MethodGet)
 	r.HandleFunc("/control/ledger", u.report).Methods(http.MethodGet)
 	r.PathPrefix("/").HandlerFunc(u.serve)
 	return r
@@ -255,3 +259,17 @@
 func (u *Upstream) report(w http.ResponseWriter, _ *http.Request) {
 	_ = json.NewEncoder(w).Encode(u.Ledger())
 }
+
+// Load is the upstream's report of its own load.
+type Load struct {
+	Slots  int `json:"slots"`
+	Active int `json:"active"`
+}
+
+func (u *Upstream) load(w http.ResponseWriter, _ *http.Request) {
+	report := Load{Slots: cap(u.slots), Active: len(u.slots)}
+	if u.options.Mislead {
+		report.Active = 0
+	}
+	_ = json.NewEncoder(w).Encode(report)
+}
