--- a/forwarder/watch.go
+++ b/forwarder/watch.go
@@ -14,7 +14,7 @@
 	// checkTimeout bounds one question about an attempt.
 	checkTimeout = 500 * time.Millisecond
 	// silentChecks is the number of checks without an answer after which an
-	// attempt is given up.
+	// attempt that may run twice is given up.
 	silentChecks = 3
 	// verdictLimit is the largest age of an attempt at which an answer about
 	// it counts; receivers remember longer.
@@ -70,8 +70,10 @@
 	case schema.Progress_PROGRESS_FENCED:
 		return false
 	default:
+		// A call that may not run twice gains nothing by being given up early:
+		// a receiver that comes back can still answer, or be told not to run it.
 		w.silent++
-		return w.silent < silentChecks
+		return w.silent < silentChecks || !w.attempt.call.Route.Idempotent
 	}
 }
 
