Tell operators why a request was refused

Each node remembers its last 2048 refusals by request; quetzalctl why asks all hosts and shows the refusals of one request in order, between hosts and to the caller.

--- a/cmd/quetzalctl/main.go
+++ b/cmd/quetzalctl/main.go
@@ -43,6 +43,7 @@
 	subcommands.Register(&sheetApply{options: o}, "configuration")
 	subcommands.Register(&hostList{options: o}, "fleet")
 	subcommands.Register(&shardList{options: o}, "fleet")
+	subcommands.Register(&refusalShow{options: o}, "fleet")
 	subcommands.Register(&counterList{options: o}, "fleet")
 	flag.Parse()
 	if err := o.connect(); err != nil {
--- a/refuser/refuser.go
+++ b/refuser/refuser.go
@@ -18,6 +18,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"quetzalhub/schema"
@@ -74,6 +75,21 @@
 // Refuser writes and counts refusals.
 type Refuser struct {
 	counts *expvar.Map
+
+	mu     sync.Mutex
+	recent [remembered]Refusal
+	next   int
+}
+
+// remembered is the number of refusals that can be looked up.
+const remembered = 2048
+
+// Refusal is a refusal that was made.
+type Refusal struct {
+	Request string
+	Code    Code
+	Note    string
+	At      time.Time
 }
 
 // New returns a refuser that counts in the given map, one entry for each code.
@@ -88,6 +104,7 @@
 func (r *Refuser) Refuse(w http.ResponseWriter, code Code, d Detail) {
 	m := code.Meaning()
 	r.counts.Add(m.Name, 1)
+	r.remember(Refusal{d.Request, code, d.Note, time.Now()})
 	h := w.Header()
 	h.Set("Content-Type", ContentType)
 	h.Set("Cache-Control", "no-store")
@@ -107,6 +124,26 @@
 	_ = json.NewEncoder(w).Encode(problem)
 }
 
+func (r *Refuser) remember(refusal Refusal) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.recent[r.next] = refusal
+	r.next = (r.next + 1) % remembered
+}
+
+// Explain returns the remembered refusals of a request, oldest first.
+func (r *Refuser) Explain(request string) []Refusal {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []Refusal
+	for i := range remembered {
+		if refusal := r.recent[(r.next+i)%remembered]; refusal.Request == request && request != "" {
+			found = append(found, refusal)
+		}
+	}
+	return found
+}
+
 // OutcomeName returns the form of an outcome used in documents.
 func OutcomeName(o schema.Outcome) string {
 	switch o {
--- /dev/null
+++ b/refuser/refuser_test.go
@@ -0,0 +1,54 @@
+package refuser_test
+
+import (
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"quetzalhub/refuser"
+)
+
+func TestProblemDocument(t *testing.T) {
+	g := NewWithT(t)
+	counts := new(expvar.Map)
+	r := refuser.New(counts)
+	w := httptest.NewRecorder()
+	r.Refuse(w, refuser.RateExceeded, refuser.Detail{Request: "abc", Retry: 1200 * time.Millisecond})
+	var p refuser.Problem
+	g.Expect(json.Unmarshal(w.Body.Bytes(), &p)).To(Succeed())
+	g.Expect(w.Code).To(Equal(429))
+	g.Expect(w.Header().Get("Content-Type")).To(Equal("application/problem+json"))
+	g.Expect(w.Header().Get("Retry-After")).To(Equal("2"))
+	g.Expect(p.Code).To(Equal(refuser.RateExceeded))
+	g.Expect(p.Outcome).To(Equal("not run"))
+	g.Expect(p.Request).To(Equal("abc"))
+	g.Expect(counts.Get("rate_exceeded").String()).To(Equal("1"))
+	g.Expect(counts.Get("draining").String()).To(Equal("0"), "each code has a counter from the start")
+}
+
+// TestExplain looks refusals up, among more than are remembered.
+func TestExplain(t *testing.T) {
+	g := NewWithT(t)
+	r := refuser.New(new(expvar.Map))
+	refuse := func(request string, code refuser.Code) {
+		r.Refuse(httptest.NewRecorder(), code, refuser.Detail{Request: request})
+	}
+	refuse("old", refuser.RateExceeded)
+	for i := range 2046 {
+		refuse(fmt.Sprint(i), refuser.ShedAtEntry)
+	}
+	refuse("twice", refuser.ShedAtGuard)
+	g.Expect(r.Explain("old")).To(HaveLen(1))
+	refuse("twice", refuser.Draining)
+	g.Expect(r.Explain("old")).To(BeEmpty())
+	found := r.Explain("twice")
+	g.Expect(found).To(HaveLen(2))
+	g.Expect(found[0].Code).To(Equal(refuser.ShedAtGuard))
+	g.Expect(found[1].Code).To(Equal(refuser.Draining))
+	g.Expect(r.Explain("")).To(BeEmpty())
+}
--- a/responder/responder.go
+++ b/responder/responder.go
@@ -15,8 +15,10 @@
 
 	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/types/known/durationpb"
+	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"quetzalhub/gossiper"
+	"quetzalhub/refuser"
 	"quetzalhub/resolver"
 	"quetzalhub/schema"
 )
@@ -53,6 +55,11 @@
 	Settle(req *schema.SettleRequest)
 }
 
+// Explainer remembers refusals.
+type Explainer interface {
+	Explain(request string) []refuser.Refusal
+}
+
 // Parts are what a responder answers from.
 type Parts struct {
 	Confirmer Confirmer
@@ -60,6 +67,9 @@
 	Lender    Lender
 	Fencer    Fencer
 	Keys      Deduplicator
+	// Refusals went to callers, Calls to other nodes.
+	Refusals Explainer
+	Calls    Explainer
 }
 
 // Responder answers calls.
@@ -128,6 +138,24 @@
 	return &schema.SettleResponse{}, nil
 }
 
+// Explain tells why the node refused a request.
+func (r *Responder) Explain(_ context.Context, req *schema.ExplainRequest) (*schema.ExplainResponse, error) {
+	resp := &schema.ExplainResponse{}
+	resp.Refusals = append(resp.Refusals, explained(r.Calls.Explain(req.GetRequest()), true)...)
+	resp.Refusals = append(resp.Refusals, explained(r.Refusals.Explain(req.GetRequest()), false)...)
+	return resp, nil
+}
+
+func explained(refusals []refuser.Refusal, internal bool) []*schema.Refusal {
+	var list []*schema.Refusal
+	for _, one := range refusals {
+		list = append(list, &schema.Refusal{
+			Code: uint32(one.Code), Note: one.Note, At: timestamppb.New(one.At), Internal: internal,
+		})
+	}
+	return list
+}
+
 // Describe tells operators what the node knows.
 func (r *Responder) Describe(context.Context, *schema.DescribeRequest) (*schema.DescribeResponse, error) {
 	view := r.Fleet.View()
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -62,7 +62,10 @@
 while read -r workspace fingerprint _; do
   [ "$workspace" != gloves ] || ctl key-withdraw "$fingerprint" || fail "withdrawal"
 done < <(ctl keys)
-caller http://127.0.0.1:10050/sizes/7
+refused=$(caller http://127.0.0.1:10050/sizes/7)
+echo "$refused"
+request=$(sed -n 's/.*"request":"\([A-Z0-9]*\)".*/\1/p' <<<"$refused")
+ctl why "$request" || fail "why"
 echo "== refusals and retries by reason"
 ctl counters || fail "counters"
 echo "== stop"
--- a/server/server.go
+++ b/server/server.go
@@ -62,6 +62,7 @@
 		newBalancer,
 		newWatcher,
 		newDeduplicator,
+		newRefusers,
 		newResponder,
 		newTraffic,
 		newNode,
@@ -195,8 +196,20 @@
 	return deduplicator.New(g, c)
 }
 
-func newResponder(c *confirmer.Confirmer, g *gossiper.Gossiper, l *lender.Lender, f *fencer.Fencer, d *deduplicator.Deduplicator) *responder.Responder {
-	return responder.New(responder.Parts{Confirmer: c, Fleet: g, Lender: l, Fencer: f, Keys: d})
+func newResponder(c *confirmer.Confirmer, g *gossiper.Gossiper, l *lender.Lender, f *fencer.Fencer, d *deduplicator.Deduplicator, r *refusers) *responder.Responder {
+	return responder.New(responder.Parts{
+		Confirmer: c, Fleet: g, Lender: l, Fencer: f, Keys: d, Refusals: r.callers, Calls: r.nodes,
+	})
+}
+
+// refusers write refusals to callers and upstreams, and to other nodes.
+type refusers struct {
+	callers *refuser.Refuser
+	nodes   *refuser.Refuser
+}
+
+func newRefusers(r *recorder.Recorder) *refusers {
+	return &refusers{callers: refuser.New(r.Refusals), nodes: refuser.New(r.Calls)}
 }
 
 // traffic holds the handlers of the request path.
@@ -221,6 +234,7 @@
 	Balancer  *balancer.Balancer
 	Fencer    *fencer.Fencer
 	Keys      *deduplicator.Deduplicator
+	Refusers  *refusers
 }
 
 func newTraffic(p trafficParts) *traffic {
@@ -243,7 +257,7 @@
 	}
 	body := int64(settings.GetBody())
 	dispatcher := forwarder.NewDispatcher(options)
-	refusals := refuser.New(p.Recorder.Refusals)
+	refusals := p.Refusers.callers
 	active := &tracker.Tracker{}
 	entry := forwarder.EntryOptions{Deadline: settings.GetDeadline().AsDuration(), Retries: settings.GetRetries(), Body: body}
 	return &traffic{
@@ -254,7 +268,7 @@
 			Upstreams: p.Announcer,
 			Fencer:    p.Fencer,
 			Tracker:   active,
-			Refuser:   refuser.New(p.Recorder.Calls),
+			Refuser:   p.Refusers.nodes,
 			Transport: transporter.New(nil),
 			Body:      body,
 		}),
