Let a new holder's pool earn nothing while old loans may be in use

Cause, found in reading: a new holder opens its books when the first report comes in, up to 5.35 s before it lends, and the pool earned tokens from then on, while hosts that had not heard of the new term still earned and spent under the old one. The random faults never hit it: it takes hosts that spend all they borrowed just before their loans end and a pool that is emptied just after it opens.

Also one function for the record of a report, and the usage line of the package.

--- a/lender/book.go
+++ b/lender/book.go
@@ -91,10 +91,34 @@
 		s.books[workspace] = b
 	}
 	b.limit = limit
+	b.forgo(s.earns, now)
 	b.settle(now)
 	return b
 }
 
+// forgo drops what the pool earned before a time.
+func (b *book) forgo(earns, now time.Time) {
+	if !b.pool.Updated.Before(earns) {
+		return
+	}
+	b.pool.Tokens = 0
+	b.pool.Updated = earns
+	if now.Before(earns) {
+		b.pool.Updated = now
+	}
+}
+
+// record replaces what is known of a borrower by its report.
+func (b *book) record(id borrowerID, d *schema.Demand) *entry {
+	e := b.entries[id]
+	if e == nil {
+		e = &entry{}
+		b.entries[id] = e
+	}
+	b.set(e, entry{demand: d.GetRate(), rate: d.GetHeld(), limit: d.GetCap()})
+	return e
+}
+
 // settle sets the pool to what is not lent.
 func (b *book) settle(now time.Time) {
 	rate := b.limit.Rate - b.total.rate
@@ -139,12 +163,7 @@
 
 // lend records a demand and returns the new loan.
 func (b *book) lend(id borrowerID, d *schema.Demand, now time.Time) *schema.Loan {
-	e := b.entries[id]
-	if e == nil {
-		e = &entry{}
-		b.entries[id] = e
-	}
-	b.set(e, entry{demand: d.GetRate(), rate: d.GetHeld(), limit: d.GetCap()})
+	e := b.record(id, d)
 	b.settle(now)
 	b.pool.Tokens = min(b.pool.Cap, b.pool.Tokens+max(d.GetReturned(), 0))
 	loan := &schema.Loan{Workspace: d.GetWorkspace()}
@@ -162,12 +181,7 @@
 
 // confirm records a loan made before the holder lends and lets it go on as it is.
 func (b *book) confirm(id borrowerID, d *schema.Demand) *schema.Loan {
-	e := b.entries[id]
-	if e == nil {
-		e = &entry{}
-		b.entries[id] = e
-	}
-	b.set(e, entry{demand: d.GetRate(), rate: d.GetHeld(), limit: d.GetCap()})
+	b.record(id, d)
 	return &schema.Loan{
 		Workspace: d.GetWorkspace(),
 		Rate:      d.GetHeld(),
--- a/lender/fleet_test.go
+++ b/lender/fleet_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -39,6 +40,8 @@
 
 	// pause is the time between two looks at the platform.
 	pause time.Duration
+	// deaf hosts learn of no new state and get no confirmations.
+	deaf atomic.Bool
 
 	mu     sync.Mutex
 	frozen chan struct{}
@@ -173,7 +176,7 @@
 		h.fleet.mu.Unlock()
 		time.Sleep(roundTrip)
 		h.thaw()
-		if !silent {
+		if !silent && !h.deaf.Load() {
 			_, _ = h.confirmer.Apply(raw)
 			h.confirmer.Confirm(version, sent)
 		}
@@ -340,6 +343,17 @@
 	return len(f.admitted)
 }
 
+// burst sends a number of requests to each of some hosts at once.
+func (f *fleet) burst(count int, hosts ...string) {
+	var group sync.WaitGroup
+	for _, name := range hosts {
+		for range count {
+			group.Go(func() { f.request(name) })
+		}
+	}
+	group.Wait()
+}
+
 // forget drops the history of admissions.
 func (f *fleet) forget() {
 	f.mu.Lock()
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -8,12 +8,13 @@
 //
 // # Usage
 //
-//	l := lender.New("node-1", confirmer, freshness)
+//	l := lender.New(identity, confirmer, freshness)
 //	resp, err := l.Borrow(req)
 //
 // A new holder lets loans of the term before go on as they are, and starts to
-// lend more only when no other loan of that term can be in use any more. The loans of a borrower that failed are taken back once its
-// incarnation is fenced in the state and the fence is in force at it.
+// lend more only when no other loan of that term can be in use any more. The
+// loans of a borrower that failed are taken back once its incarnation is fenced
+// in the state and the fence is in force at it.
 package lender
 
 import (
@@ -21,6 +22,7 @@
 	"time"
 
 	"github.com/juju/errors"
+
 	"quetzalhub/confirmer"
 	"quetzalhub/limiter"
 	"quetzalhub/resolver"
@@ -68,6 +70,9 @@
 	term uint64
 	// opens is the time from which the holder lends.
 	opens time.Time
+	// earns is the time from which pools earn tokens: before it, loans of the
+	// term before may still earn what the books do not show.
+	earns time.Time
 	// pristine is true if no loan was ever made without being in the books.
 	pristine bool
 	numbers  map[borrowerID]uint64
@@ -145,17 +150,18 @@
 	opened := &shard{
 		term:    s.GetTerm(),
 		opens:   now.Add(l.grace()),
+		earns:   now.Add(l.grace()),
 		numbers: map[borrowerID]uint64{},
 		books:   map[string]*book{},
 	}
 	if s.GetTerm() == 1 {
-		opened.opens = now
+		opened.opens, opened.earns = now, now
 		opened.pristine = true
 	}
 	adopted := l.adopted[s.GetIndex()]
 	delete(l.adopted, s.GetIndex())
 	if s.GetCarried() && adopted.GetTerm() == s.GetTerm() {
-		opened.opens = now
+		opened.opens, opened.earns = now, now
 		opened.pristine = adopted.GetPristine()
 		opened.restore(adopted.GetBooks(), now)
 	}
--- a/lender/sharing_test.go
+++ b/lender/sharing_test.go
@@ -215,6 +215,43 @@
 	})
 }
 
+// TestPoolOfANewHolder lets hosts that have not heard of a new holder spend all
+// they borrowed just before their loans end, and empties the new holder's pool
+// just after it opens.
+func TestPoolOfANewHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const rate, burst = 10.0, 100.0
+		hosts := names(10)
+		deaf := hosts[2:]
+		f := newFleet(t, 6, rate, burst, false, hosts...)
+		time.Sleep(time.Second)
+		started := time.Now()
+		for time.Since(started) < 3*time.Second {
+			f.burst(1, deaf...)
+		}
+		f.kill(hosts[0])
+		time.Sleep(20 * time.Second)
+		for _, name := range deaf {
+			f.host(name).deaf.Store(true)
+		}
+		f.write(func(s *schema.State) { reassign(s, hosts[0], hosts[1], 1) })
+		time.Sleep(time.Second)
+		f.burst(1, hosts[1])
+		time.Sleep(freshness - 1650*time.Millisecond)
+		before := f.count()
+		f.burst(60, deaf...)
+		deafly := f.count() - before
+		before += deafly
+		for time.Since(started) < 33*time.Second {
+			f.burst(60, hosts[1])
+			time.Sleep(10 * time.Millisecond)
+		}
+		t.Logf("admitted by deaf hosts %d, by the new holder %d, worst excess %.2f", deafly, f.count()-before, f.worstExcess(rate, burst))
+		g.Expect(f.worstExcess(rate, burst)).To(BeNumerically("<=", 1e-6))
+	})
+}
+
 // TestLoweredRate checks that a lowered rate holds once it is in force.
 func TestLoweredRate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
