Refuse attempts whose time is over

Cause, found in reading: a request whose deadline had passed could still be written to an idle connection before its cancellation took effect, the relay took an envelope without time left, and a guard with a free slot did not look at the deadline. A node that thaws late could so send a request that its idempotency key's home had already called lost. Failing before: 200 requests with an ended context reached an idle connection as sent; a guard let an ended one in. Each of the three places now refuses, as not run.

--- /dev/null
+++ b/forwarder/late_test.go
@@ -0,0 +1,49 @@
+package forwarder_test
+
+import (
+	"encoding/base64"
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"quetzalhub/schema"
+)
+
+// TestLateAttemptIsRefused hands a relay attempts with and without time left.
+func TestLateAttemptIsRefused(t *testing.T) {
+	cases := map[string]struct {
+		left time.Duration
+		runs int
+	}{
+		"time left": {time.Second, 1},
+		"none left": {0, 0},
+		"overdue":   {-time.Second, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			m := newMesh(t)
+			m.route("orders", false)
+			runs := newLedger()
+			n := m.add("orders", echo(runs))
+			m.join()
+			envelope, err := proto.Marshal(&schema.Envelope{
+				Attempt: "other/1/1", Incarnation: 1, Service: "orders", Left: durationpb.New(c.left),
+			})
+			g.Expect(err).NotTo(HaveOccurred())
+			req, _ := http.NewRequest("POST", n.peers.URL+"/orders/1", nil)
+			req.Header.Set("Quetzal-Envelope", base64.RawStdEncoding.EncodeToString(envelope))
+			req.Header.Set("Quetzal-Method", "POST")
+			req.Header.Set("X-Id", "order")
+			a := send(req)
+			g.Expect(runs.count("order")).To(Equal(c.runs))
+			if c.runs == 0 {
+				g.Expect(outcomeOf(a)).To(Equal("not run"))
+			}
+		})
+	}
+}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -84,6 +84,9 @@
 	if _, incarnation := r.options.Identity.Identity(); e.GetIncarnation() != incarnation {
 		return refuser.IncarnationChanged
 	}
+	if e.GetLeft().AsDuration() <= 0 {
+		return refuser.DeadlineBeforeRun
+	}
 	var code refuser.Code
 	v.gate, v.address, code = r.options.Upstreams.Gate(e.GetService())
 	if code != refuser.None {
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -16,7 +16,7 @@
 //	g := guard.New(guard.Start(8), guard.Delay(20*time.Millisecond))
 //	pass, err := g.Enter(ctx, guard.Request{Class: class, Rank: rank, Workspace: name})
 //	if err != nil { ... }
-//	defer pass.Leave(true)
+//	defer pass.Leave()
 package guard
 
 import (
@@ -77,6 +77,9 @@
 // *refuser.Error with code ShedAtGuard or DeadlineBeforeRun; the request has
 // then not run.
 func (g *Guard) Enter(ctx context.Context, r Request) (*Pass, error) {
+	if ctx.Err() != nil {
+		return nil, &refuser.Error{Code: refuser.DeadlineBeforeRun}
+	}
 	now := time.Now()
 	priority := Priority(r.Class, r.Rank)
 	g.mu.Lock()
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"quetzalhub/guard"
+	"quetzalhub/refuser"
 	"quetzalhub/schema"
 )
 
@@ -170,6 +171,16 @@
 	}
 }
 
+// TestLateRequestIsRefused does not run a request whose time is over, though a
+// slot is free.
+func TestLateRequestIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := guard.New().Enter(ended, guard.Request{Class: schema.Class_CLASS_NORMAL})
+	g.Expect(refuser.Of(err)).To(Equal(refuser.DeadlineBeforeRun))
+}
+
 // TestWorkspacesShareTheQueue sends most requests from one workspace.
 func TestWorkspacesShareTheQueue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -89,6 +89,9 @@
 // RoundTrip sends a request and returns its response.
 func (t *Transporter) RoundTrip(req *http.Request) (*http.Response, error) {
 	ctx := req.Context()
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
 	c, err := t.connect(ctx, req.URL.Host)
 	if err != nil {
 		return nil, err
--- a/transporter/transporter_test.go
+++ b/transporter/transporter_test.go
@@ -131,6 +131,26 @@
 	g.Expect(transporter.Sent(err)).To(BeFalse())
 }
 
+// TestEndedContextSendsNothing leaves an idle connection unused if the request's
+// time is over already.
+func TestEndedContextSendsNothing(t *testing.T) {
+	g := NewWithT(t)
+	var seen atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { seen.Add(1) }))
+	defer server.Close()
+	tr := transporter.New(nil)
+	_, _, err := get(tr, context.Background(), server.URL)
+	g.Expect(err).NotTo(HaveOccurred())
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	for range 200 {
+		_, _, err = get(tr, ended, server.URL)
+		g.Expect(err).To(HaveOccurred())
+		g.Expect(transporter.Sent(err)).To(BeFalse())
+	}
+	g.Expect(seen.Load()).To(Equal(int32(1)))
+}
+
 // TestCancellation ends a request that gets no answer, and one in the middle of
 // its answer.
 func TestCancellation(t *testing.T) {
