--- a/confirmer/confirmer.go
+++ b/confirmer/confirmer.go
@@ -72,9 +72,6 @@
 	return &Confirmer{domain: domain, period: period, origin: time.Now(), contacts: map[string]time.Time{}}
 }
 
-// Period returns the largest age of fresh state.
-func (c *Confirmer) Period() time.Duration { return c.period }
-
 // Listen adds a listener. It must be called before the first Apply.
 func (c *Confirmer) Listen(l Listener) {
 	c.mu.Lock()
@@ -210,11 +207,6 @@
 	c.until.Store(int64(next.Sub(c.origin)))
 }
 
-// Until returns the end of freshness as known now.
-func (c *Confirmer) Until() time.Time {
-	return c.origin.Add(time.Duration(c.until.Load()))
-}
-
 // Fresh tells whether keyed requests may be served now.
 func (c *Confirmer) Fresh() bool {
 	return c.snapshot.Load() != nil && time.Since(c.origin) < time.Duration(c.until.Load())
--- a/deduplicator/deduplicator.go
+++ b/deduplicator/deduplicator.go
@@ -14,7 +14,7 @@
 //
 // # Usage
 //
-//	d := deduplicator.New(directory, identity, state)
+//	d := deduplicator.New(directory, state)
 //	resp := d.Claim(req)
 //	d.Settle(req)
 //	home, ok := d.Home(workspace, key)
--- a/fencer/fencer.go
+++ b/fencer/fencer.go
@@ -124,13 +124,6 @@
 	return schema.Progress_PROGRESS_FENCED
 }
 
-// Active returns the number of attempts under way.
-func (f *Fencer) Active() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.active)
-}
-
 func (f *Fencer) turn() {
 	now := time.Now()
 	f.ended.turn(now)
--- a/forwarder/resend.go
+++ b/forwarder/resend.go
@@ -6,7 +6,6 @@
 	"crypto/sha256"
 	"io"
 	"net/http"
-	"strings"
 
 	"google.golang.org/protobuf/types/known/durationpb"
 
@@ -136,7 +135,7 @@
 	s := &schema.StoredAnswer{Status: uint32(a.Status), Body: body}
 	for name, values := range a.Header {
 		for _, value := range values {
-			if !strings.HasPrefix(name, headerPrefix) {
+			if !ownHeader(name) {
 				s.Fields = append(s.Fields, &schema.Field{Name: name, Value: value})
 			}
 		}
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -14,7 +14,7 @@
 //
 // # Usage
 //
-//	l := limiter.New(directory, confirmer, caller)
+//	l := limiter.New(identity, confirmer, caller)
 //	go l.Run(ctx)
 //	if err := l.Admit(ctx, "gloves"); err != nil { ... }
 package limiter
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	w := watcher.New(parts, options)
+//	w := watcher.New(options)
 //	go w.Run(ctx)
 package watcher
 
