--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -46,6 +46,9 @@
 	Register(ctx context.Context, e Entry) error
 	List(ctx context.Context) ([]Entry, error)
 	Deregister(ctx context.Context, name string) error
+	// Restored receives the era of the platform's data each time the platform has come
+	// back from an older copy, which may lack entries that it had acknowledged.
+	Restored() <-chan uint64
 }
 
 // EventLogger logs events, such as reports that can't be read.
--- a/attacher/config_watcher.go
+++ b/attacher/config_watcher.go
@@ -85,11 +85,11 @@
 				backoff = minBackoff
 			}
 			known = object.Version
-			w.reportPlatformRegained()
+			w.reportPlatformRegained(known)
 			continue
 		case errors.Is(err, storer.ErrUnchanged):
 			known, backoff = object.Version, minBackoff
-			w.reportPlatformRegained()
+			w.reportPlatformRegained(known)
 			continue
 		case errors.Is(err, storer.ErrMissing) && known != storer.Absent:
 			w.reporter.Notice("history_lost", "version", string(known))
@@ -146,10 +146,10 @@
 	}
 }
 
-func (w *configWatcher) reportPlatformRegained() {
+func (w *configWatcher) reportPlatformRegained(known storer.Version) {
 	if w.platformLost {
 		w.platformLost = false
-		w.reporter.Notice("platform_regained", "version", w.confirmer.Version())
+		w.reporter.Notice("platform_regained", "version", w.confirmer.Version(), "store", string(known))
 	}
 }
 
@@ -179,9 +179,22 @@
 	self      Entry
 }
 
-// run registers this node and lists the others, with retries. A node that
-// registers later finds this one in the list, so listing once is enough.
+// run keeps this node registered until the context ends.
 func (r *registrar) run(ctx context.Context) {
+	r.enlist(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case era := <-r.directory.Restored():
+			r.reporter.Notice("platform_restored", "era", era)
+		}
+	}
+}
+
+// enlist registers this node and lists the others, with retries. A node that
+// registers later finds this one in the list, so listing once is enough.
+func (r *registrar) enlist(ctx context.Context) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		err := r.register(ctx)
