--- /dev/null
+++ b/attacher/registrar_test.go
@@ -0,0 +1,139 @@
+package attacher
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/onsi/gomega"
+
+	"quetzalhub/beaconer"
+	"quetzalhub/reporter"
+	"quetzalhub/schema"
+)
+
+// fakeDirectory is a directory that can lose its entries.
+type fakeDirectory struct {
+	mu       sync.Mutex
+	entries  map[string]Entry
+	down     bool
+	writes   int
+	restored chan uint64
+}
+
+func (d *fakeDirectory) Register(_ context.Context, e Entry) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.down {
+		return errors.New("down")
+	}
+	d.writes++
+	d.entries[e.Name] = e
+	return nil
+}
+
+func (d *fakeDirectory) List(context.Context) ([]Entry, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var entries []Entry
+	for _, e := range d.entries {
+		entries = append(entries, e)
+	}
+	return entries, nil
+}
+
+func (d *fakeDirectory) Deregister(context.Context, string) error { return nil }
+
+func (d *fakeDirectory) Restored() <-chan uint64 { return d.restored }
+
+// set changes the directory.
+func (d *fakeDirectory) set(change func(d *fakeDirectory)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	change(d)
+}
+
+// recordingTransport records the addresses that receive beacons.
+type recordingTransport struct {
+	mu       sync.Mutex
+	received map[string]bool
+}
+
+func (t *recordingTransport) Send(address string, _ []byte) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.received[address] = true
+}
+
+func (t *recordingTransport) reached(address string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.received[address]
+}
+
+// TestRegistrationAfterRestore guards against new nodes that find nobody in the
+// directory: an entry that the platform acknowledged is gone once the platform has come
+// back from a copy older than it, and must be written again. Nodes that registered
+// meanwhile found a short list, so the others must look for them.
+func TestRegistrationAfterRestore(t *testing.T) {
+	newcomer := Entry{"node-9", "10.0.0.9:7000"}
+	cases := map[string]struct {
+		restore func(d *fakeDirectory)
+		// later is done half a second after the restore.
+		later func(d *fakeDirectory)
+	}{
+		"all entries lost": {
+			restore: func(d *fakeDirectory) { d.entries = map[string]Entry{newcomer.Name: newcomer}; d.restored <- 2 },
+		},
+		"newcomer before the return was noticed": {
+			restore: func(d *fakeDirectory) { d.entries = map[string]Entry{newcomer.Name: newcomer} },
+			later:   func(d *fakeDirectory) { d.restored <- 2 },
+		},
+		"refused for some time after the return": {
+			restore: func(d *fakeDirectory) {
+				d.entries, d.down = map[string]Entry{newcomer.Name: newcomer}, true
+				d.restored <- 2
+			},
+			later: func(d *fakeDirectory) { d.down = false },
+		},
+		"twice": {
+			restore: func(d *fakeDirectory) { d.entries = map[string]Entry{}; d.restored <- 2 },
+			later:   func(d *fakeDirectory) { d.entries = map[string]Entry{newcomer.Name: newcomer}; d.restored <- 3 },
+		},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				d := &fakeDirectory{entries: map[string]Entry{}, restored: make(chan uint64, 1)}
+				transport := &recordingTransport{received: map[string]bool{}}
+				b := beaconer.New(&schema.Member{Name: "node-1", Beacon: "10.0.0.1:7000"}, transport, noopBeacons{}, time.Second)
+				self := Entry{"node-1", "10.0.0.1:7000"}
+				r := &registrar{d, b, reporter.New(io.Discard, "node-1", log.InfoLevel), self}
+				ctx, cancel := context.WithCancel(context.Background())
+				var group sync.WaitGroup
+				group.Go(func() { r.run(ctx) })
+				group.Go(func() { b.Run(ctx) })
+				defer group.Wait()
+				defer cancel()
+				time.Sleep(time.Minute)
+				d.set(func(d *fakeDirectory) { g.Expect(d.writes).To(Equal(1)) })
+				d.set(c.restore)
+				time.Sleep(500 * time.Millisecond)
+				if c.later != nil {
+					d.set(c.later)
+				}
+				time.Sleep(2 * time.Second)
+				d.set(func(d *fakeDirectory) { g.Expect(d.entries).To(HaveKeyWithValue("node-1", self)) })
+				g.Expect(transport.reached(newcomer.Address)).To(BeTrue())
+				time.Sleep(time.Minute)
+				d.set(func(d *fakeDirectory) { g.Expect(d.writes).To(BeNumerically("<=", 3), "each call is charged") })
+			})
+		})
+	}
+}
