--- a/attacher/config_watcher.go
+++ b/attacher/config_watcher.go
@@ -28,6 +28,10 @@
 	// minBackoff and maxBackoff bound the backoff after a failed call.
 	minBackoff = 200 * time.Millisecond
 	maxBackoff = time.Second
+	// checkWait is the wait of the first watch after a failed call. Whether the
+	// platform still has the history shows only when a watch ends, and a platform that
+	// comes back from a copy accepts watches from revisions that it gives out again.
+	checkWait = time.Millisecond
 	// peerFetchDelay is the time the platform has to deliver a change that
 	// another node already has, before the node fetches it from that node.
 	peerFetchDelay = 80 * time.Millisecond
@@ -68,14 +72,19 @@
 func (w *configWatcher) run(ctx context.Context) {
 	backoff := minBackoff
 	var known storer.Version
+	failed := false
 	for ctx.Err() == nil {
 		var object storer.Object
 		var err error
-		if known == storer.Absent {
+		switch {
+		case known == storer.Absent:
 			object, err = w.source.Read(ctx)
-		} else {
+		case failed:
+			object, err = w.source.Watch(ctx, known, checkWait)
+		default:
 			object, err = w.source.Watch(ctx, known, w.nextWatchWait())
 		}
+		failed = err != nil && !errors.Is(err, storer.ErrUnchanged)
 		switch {
 		case err == nil:
 			if w.apply(object.Data) && known == storer.Absent {
--- a/attacher/config_watcher_test.go
+++ b/attacher/config_watcher_test.go
@@ -33,7 +33,10 @@
 	down       bool
 	// oldestVersion is the version before which changes are no longer available.
 	oldestVersion uint64
-	reads         int
+	// restored is set while the store has come back from a copy: a watch that starts
+	// then is accepted, but finds only at its end that it missed changes.
+	restored bool
+	reads    int
 }
 
 func (s *fakeSource) object() (storer.Object, error) {
@@ -48,6 +51,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
+	s.restored = false
 	if s.down {
 		return storer.Object{}, errors.New("down")
 	}
@@ -79,6 +83,10 @@
 	switch {
 	case s.down:
 		return object, errors.New("down"), true
+	case s.restored && time.Now().After(until):
+		return object, storer.ErrMissing, true
+	case s.restored:
+		return object, nil, false
 	case version < s.oldestVersion && first:
 		return object, storer.ErrMissing, true
 	case s.version > version && version >= s.oldestVersion:
@@ -123,31 +131,38 @@
 		laterChange func(s *fakeSource)
 		wait        time.Duration
 		want        uint64
+		// nodes is the size of the fleet; a watch lasts longer in a large one.
+		nodes int
 	}{
-		"new version":  {func(s *fakeSource) { s.version = 4 }, 0, nil, 50 * time.Millisecond, 4},
-		"history lost": {func(s *fakeSource) { s.version, s.oldestVersion = 4, 4 }, 0, nil, 1700 * time.Millisecond, 4},
+		"new version":  {func(s *fakeSource) { s.version = 4 }, 0, nil, 50 * time.Millisecond, 4, 0},
+		"history lost": {func(s *fakeSource) { s.version, s.oldestVersion = 4, 4 }, 0, nil, 1700 * time.Millisecond, 4, 0},
+		"restored from a copy after an outage": {
+			func(s *fakeSource) { s.down = true }, 2 * time.Second,
+			func(s *fakeSource) { s.version, s.down, s.restored = 4, false, true }, 1700 * time.Millisecond, 4, 60,
+		},
 		"history lost while watches hang": {
 			func(s *fakeSource) { s.noTimeouts = true }, 100 * time.Millisecond,
-			func(s *fakeSource) { s.version, s.oldestVersion = 4, 4 }, 1700 * time.Millisecond, 4,
+			func(s *fakeSource) { s.version, s.oldestVersion = 4, 4 }, 1700 * time.Millisecond, 4, 0,
 		},
 		"new version during a one-minute outage": {
 			func(s *fakeSource) { s.down = true }, time.Minute,
-			func(s *fakeSource) { s.version, s.down = 4, false }, 1600 * time.Millisecond, 4,
+			func(s *fakeSource) { s.version, s.down = 4, false }, 1600 * time.Millisecond, 4, 0,
 		},
-		"platform still down":      {func(s *fakeSource) { s.down, s.version = true, 4 }, 0, nil, 10 * time.Second, 3},
-		"unreadable configuration": {func(s *fakeSource) { s.version, s.readable = 4, false }, 0, nil, 5 * time.Second, 3},
-		"older version":            {func(s *fakeSource) { s.version, s.oldestVersion = 2, 4 }, 0, nil, 5 * time.Second, 3},
+		"platform still down":      {func(s *fakeSource) { s.down, s.version = true, 4 }, 0, nil, 10 * time.Second, 3, 0},
+		"unreadable configuration": {func(s *fakeSource) { s.version, s.readable = 4, false }, 0, nil, 5 * time.Second, 3, 0},
+		"older version":            {func(s *fakeSource) { s.version, s.oldestVersion = 2, 4 }, 0, nil, 5 * time.Second, 3, 0},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := NewWithT(t)
+				nodes := max(c.nodes, 1)
 				s := &fakeSource{version: 3, readable: true}
 				state := confirmer.New("a", configMaxAge)
 				cl := caller.New("node-1", state, nil, nil)
 				b := beaconer.New(&schema.Member{Name: "node-1"}, noopBeacons{}, noopBeacons{}, time.Second)
 				cl.Attach(&beaconFleet{b})
-				w := newConfigWatcher(s, state, reporter.New(io.Discard, "node-1", log.InfoLevel), cl, func() int { return 1 })
+				w := newConfigWatcher(s, state, reporter.New(io.Discard, "node-1", log.InfoLevel), cl, func() int { return nodes })
 				ctx, cancel := context.WithCancel(context.Background())
 				var group sync.WaitGroup
 				group.Go(func() { w.run(ctx) })
