--- a/attacher/config_watcher.go
+++ b/attacher/config_watcher.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"quetzalhub/beaconer"
 	"quetzalhub/caller"
 	"quetzalhub/confirmer"
 	"quetzalhub/reporter"
@@ -178,54 +177,3 @@
 
 // NodeSilent does nothing; failed nodes don't affect the configuration.
 func (w *configWatcher) NodeSilent(*schema.Member) {}
-
-// registrar registers this node in the directory and passes the listed nodes to
-// the beaconer.
-type registrar struct {
-	directory Directory
-	beaconer  *beaconer.Beaconer
-	reporter  *reporter.Reporter
-	self      Entry
-}
-
-// run keeps this node registered until the context ends.
-func (r *registrar) run(ctx context.Context) {
-	r.enlist(ctx)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case era := <-r.directory.Restored():
-			r.reporter.Notice("platform_restored", "era", era)
-		}
-	}
-}
-
-// enlist registers this node and lists the others, with retries. A node that
-// registers later finds this one in the list, so listing once is enough.
-func (r *registrar) enlist(ctx context.Context) {
-	backoff := minBackoff
-	for ctx.Err() == nil {
-		err := r.register(ctx)
-		if err == nil {
-			return
-		}
-		r.reporter.Notice("not_enlisted", "err", err)
-		sleep(ctx, backoff/2+rand.N(backoff))
-		backoff = min(2*backoff, maxBackoff)
-	}
-}
-
-func (r *registrar) register(ctx context.Context) error {
-	if err := r.directory.Register(ctx, r.self); err != nil {
-		return err
-	}
-	entries, err := r.directory.List(ctx)
-	for _, entry := range entries {
-		r.beaconer.AddNode(entry.Name, entry.Address)
-	}
-	if err == nil {
-		r.reporter.Notice("enlisted", "nodes", len(entries))
-	}
-	return err
-}
