Check that an answer cut in its head never looks whole

An operator of a similar system reported a 200 with an empty or short body for an answer whose head the upstream did not finish.

--- a/forwarder/integrity_test.go
+++ b/forwarder/integrity_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -142,3 +144,65 @@
 		})
 	}
 }
+
+// TestAnswerCutInHead guards against a success with an empty or short body, framed as
+// whole, for an answer whose head an upstream did not finish before it closed or reset the
+// connection. The answer is cut after each of its bytes.
+func TestAnswerCutInHead(t *testing.T) {
+	const body = "the whole answer"
+	cases := map[string]string{
+		"with a length":       "HTTP/1.1 200 OK\r\nX-Answer: yes\r\nContent-Length: 16\r\n\r\n" + body,
+		"in chunks":           "HTTP/1.1 200 OK\r\nX-Answer: yes\r\nTransfer-Encoding: chunked\r\n\r\n10\r\n" + body + "\r\n0\r\n\r\n",
+		"until the end":       "HTTP/1.1 200 OK\r\nX-Answer: yes\r\nConnection: close\r\n\r\n" + body,
+		"informational first": "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n" + body,
+	}
+	for name, answer := range cases {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reset %v", name, reset), func(t *testing.T) {
+				g := NewWithT(t)
+				m := newMesh(t)
+				m.addRoute("orders", false)
+				m.addNode("orders", cuttingHandler(answer, reset))
+				m.join()
+				// An answer without a length is whole wherever its connection is closed.
+				last := len(answer) - 1
+				if name == "until the end" && !reset {
+					last = len(answer) - len(body) - 1
+				}
+				for n := range last + 1 {
+					resp := m.request(http.MethodPost, "/orders/1", fmt.Sprint(n), "")
+					g.Expect(resp.status == http.StatusOK && resp.complete).To(BeFalse(), "cut after %d bytes: %q", n, answer[:n])
+				}
+				whole := m.request(http.MethodPost, "/orders/1", fmt.Sprint(len(answer)), "")
+				g.Expect(whole.status).To(Equal(http.StatusOK))
+				g.Expect(whole.body).To(Equal(body))
+			})
+		}
+	}
+}
+
+// cuttingHandler sends as many bytes of an answer as the ID of the request states and
+// ends the connection. It resets the connection only if it cuts the answer.
+func cuttingHandler(answer string, reset bool) func(string) http.Handler {
+	return func(string) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			n, err := strconv.Atoi(r.Header.Get("X-Id"))
+			if err != nil {
+				return
+			}
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			if _, err := io.WriteString(conn, answer[:n]); err != nil {
+				return
+			}
+			if tcp, ok := conn.(*net.TCPConn); ok && reset && n < len(answer) {
+				// The answer must arrive before the reset, which discards what is in transit.
+				time.Sleep(2 * time.Millisecond)
+				_ = tcp.SetLinger(0)
+			}
+		})
+	}
+}
