Answer requests that arrive late in a planned stop, or refuse them

Callers that kept their connections were cut without an answer at the end of the grace period, for requests that the stopping node had passed on, among them such as may not be repeated. At other nodes, calls to its upstream ended in 502.

Cause: a stopping node took requests until it closed connections, whatever time they needed.

Change: from the begin of a stop, the deadline of a request, and of a call from another node, is not later than the end of the node, so that the upstream itself ends its work and answers. A request is refused, with the promise that it has not run, once the rest of the time is shorter than its latency objective.

--- a/attacher/module.go
+++ b/attacher/module.go
@@ -312,6 +312,7 @@
 	entry     *forwarder.Entry
 	relay     *forwarder.Relay
 	upstreams *closingUpstreams
+	lifetime  *forwarder.Lifetime
 	responder *responder.Responder
 	// refuser refuses requests of callers.
 	refuser *refuser.Refuser
@@ -336,8 +337,10 @@
 		Reporter:       rep,
 	})
 	upstreams := &closingUpstreams{Upstreams: st}
+	lifetime := &forwarder.Lifetime{}
 	return &traffic{
 		upstreams: upstreams,
+		lifetime:  lifetime,
 		refuser:   callerRefuser,
 		entry: forwarder.NewEntry(forwarder.EntryOptions{
 			DefaultTimeout: settings.GetDeadline().AsDuration(),
@@ -352,12 +355,14 @@
 			Parents:        requestTracker,
 			Adviser:        retryAdviser{},
 			LoadShedder:    f.shedder,
+			Lifetime:       lifetime,
 			ObserveLatency: rec.Requests.Observe,
 			Reporter:       rep,
 		}),
 		relay: forwarder.NewRelay(forwarder.RelayOptions{
 			Identity:         f.beaconer,
 			Upstreams:        upstreams,
+			Lifetime:         lifetime,
 			Fencer:           fence,
 			Tracker:          requestTracker,
 			Refuser:          nodeRefuser,
--- a/attacher/node.go
+++ b/attacher/node.go
@@ -31,10 +31,14 @@
 	// leaveFraction, waitFraction and shutdownFraction are points in the grace
 	// period of a planned stop. Until the first, callers learn that the node is
 	// not ready; then it leaves the membership, and until the second other nodes
-	// stop sending calls; until the third active requests end.
+	// stop sending calls; until the third active requests end. Requests that can't be
+	// expected to end by then are refused.
 	leaveFraction    = 0.35
 	waitFraction     = 0.55
 	shutdownFraction = 0.85
+	// answerMargin is the time between the end of the last request and the close of its
+	// connection, for its answer to be written.
+	answerMargin = 100 * time.Millisecond
 	// activeCheckInterval is the time between checks whether requests have ended.
 	activeCheckInterval = 50 * time.Millisecond
 	// deregisterTimeout bounds the call that removes the node from the directory.
@@ -201,6 +205,7 @@
 	grace := p.Settings.GetBounds().GetGrace().AsDuration()
 	at := func(fraction float64) time.Time { return started.Add(time.Duration(fraction * float64(grace))) }
 	n.stopping.Store(true)
+	p.Traffic.lifetime.Stop(at(shutdownFraction).Add(-answerMargin))
 	p.Reporter.Notice("stopping", "grace", grace)
 	time.Sleep(time.Until(at(leaveFraction)))
 	p.Fleet.beaconer.Leave()
--- a/forwarder/entry.go
+++ b/forwarder/entry.go
@@ -41,6 +41,8 @@
 	// LoadShedder sheds load. If it is nil, requests are shed by the levels that
 	// nodes report with their responses.
 	LoadShedder LoadShedder
+	// Lifetime limits requests to the time until a planned stop. It may be nil.
+	Lifetime *Lifetime
 	// Reporter records decisions on requests.
 	Reporter Reporter
 	// ObserveLatency receives the duration of each request with a response. It
@@ -179,6 +181,8 @@
 	if callDeadline := time.Now().Add(info.Timeout); callDeadline.Before(call.Parent.Deadline) {
 		call.Parent.Deadline = callDeadline
 	}
+	// A call is not refused because the node stops, since its parent's work would be lost.
+	call.Parent.Deadline, _ = e.Lifetime.Limit(call.Parent.Deadline, 0)
 	call.Nested = true
 	if match.Certain {
 		parent.Calls.Add(call.Route.Name)
@@ -196,6 +200,10 @@
 	route := call.Route
 	class := e.State.Snapshot().Class(route, workspace)
 	rank := mathrand.Uint32N(guard.RanksPerClass)
+	deadline, ok := e.Lifetime.Limit(time.Now().Add(e.timeout(route, info)), route.TargetLatency)
+	if !ok {
+		return nil, &refuser.Error{Code: refuser.Draining}
+	}
 	if !route.AllowAnonymous {
 		if err := e.Admitter.Admit(r.Context(), workspace, route.TargetLatency/admissionWaitDivisor); err != nil {
 			return nil, capRetryAfter(err, route.TargetLatency)
@@ -214,7 +222,7 @@
 		Workspace: workspace,
 		Class:     class,
 		Rank:      rank,
-		Deadline:  time.Now().Add(e.timeout(route, info)),
+		Deadline:  deadline,
 		Budget:    tracker.NewBudget(e.retryBudget(route)),
 	}
 	if key := r.Header.Get(headerKey); key != "" && !route.Idempotent && !route.AllowAnonymous && e.IdempotencyStore != nil {
--- /dev/null
+++ b/forwarder/lifetime.go
@@ -0,0 +1,39 @@
+package forwarder
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// minRunDivisor bounds the time that a request needs to a fraction of the time from the
+// begin of a stop to its end, 1/4, so that a node that stops quickly still serves some.
+const minRunDivisor = 4
+
+// Lifetime limits requests to the time for which a node serves them. The zero value, like
+// nil, sets no limit.
+type Lifetime struct {
+	stop atomic.Pointer[plannedStop]
+}
+
+// plannedStop is the time from which a node stops, and by which it answers all requests.
+type plannedStop struct {
+	begin, end time.Time
+}
+
+// Stop records that the node stops and answers all requests until end.
+func (l *Lifetime) Stop(end time.Time) { l.stop.Store(&plannedStop{time.Now(), end}) }
+
+// Limit returns the deadline of a request, which is not later than the end of the node. It
+// returns false if the request can't be expected to end before, given its latency
+// objective.
+func (l *Lifetime) Limit(deadline time.Time, objective time.Duration) (time.Time, bool) {
+	if l == nil {
+		return deadline, true
+	}
+	stop := l.stop.Load()
+	if stop == nil || !stop.end.Before(deadline) {
+		return deadline, true
+	}
+	left := time.Until(stop.end)
+	return stop.end, left > 0 && left >= min(objective, stop.end.Sub(stop.begin)/minRunDivisor)
+}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -56,6 +56,8 @@
 	DeadlineGrace time.Duration
 	// Observer records the results of calls to the upstream. It may be nil.
 	Observer UpstreamObserver
+	// Lifetime limits calls to the time until a planned stop. It may be nil.
+	Lifetime *Lifetime
 	// Reporter records calls that got no response of the upstream.
 	Reporter Reporter
 	// ObserveQueueTime receives the time for which each call waited for a slot
@@ -143,6 +145,10 @@
 	if code != refuser.None {
 		return code
 	}
+	deadline, ok := r.options.Lifetime.Limit(time.Now().Add(e.GetLeft().AsDuration()), e.GetObjective().AsDuration())
+	if !ok {
+		return refuser.Draining
+	}
 	if !r.options.Fencer.Begin(e.GetAttempt()) {
 		if r.options.Fencer.Check(e.GetAttempt()) != schema.Progress_PROGRESS_FENCED {
 			// A second copy of an attempt says nothing about the first one.
@@ -156,7 +162,7 @@
 		Workspace: e.GetWorkspace(),
 		Class:     e.GetClass(),
 		Rank:      e.GetRank(),
-		Deadline:  time.Now().Add(e.GetLeft().AsDuration()),
+		Deadline:  deadline,
 		Depth:     e.GetDepth(),
 		Budget:    tracker.NewBudget(e.GetRetries()),
 	}
