Count the timeout of a request from its arrival

Callers waited longer than the timeout of a route: the time for which a request waits for a token of its workspace, an eighth of the objective at most, was added to it, and so was the time for its body.

--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -27,6 +27,8 @@
 	Nested bool
 	// parentID identifies the request that made this nested one, if it was found.
 	parentID string
+	// received is the time from which the timeout counts.
+	received time.Time
 }
 
 // ResponseKind classifies the response of an upstream.
--- a/forwarder/entry.go
+++ b/forwarder/entry.go
@@ -102,6 +102,7 @@
 func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	started := time.Now()
 	info, err := e.Dialect.ParseRequest(r)
+	info.received = started
 	e.Dialect.SetResponseHeaders(w.Header(), info.ID)
 	var response *entryResponse
 	if err == nil {
@@ -160,7 +161,7 @@
 		Retryable: true,
 	}
 	if info.Nested && e.Parents != nil {
-		attributes := tracker.CallAttributes{Route: route.Name, Deadline: time.Now().Add(info.Timeout), Connection: r.RemoteAddr}
+		attributes := tracker.CallAttributes{Route: route.Name, Deadline: info.received.Add(info.Timeout), Connection: r.RemoteAddr}
 		if match, ok := e.Parents.Infer(attributes); ok {
 			info.parentID = match.Request.ID
 			return e.dispatchNested(r.Context(), call, match, *info)
@@ -178,7 +179,7 @@
 	defer parent.CallTimer.End()
 	call.Parent = childRequest(parent, call.Route)
 	call.Parent.ID = info.ID
-	if callDeadline := time.Now().Add(info.Timeout); callDeadline.Before(call.Parent.Deadline) {
+	if callDeadline := info.received.Add(info.Timeout); callDeadline.Before(call.Parent.Deadline) {
 		call.Parent.Deadline = callDeadline
 	}
 	// A call is not refused because the node stops, since its parent's work would be lost.
@@ -200,7 +201,7 @@
 	route := call.Route
 	class := e.State.Snapshot().Class(route, workspace)
 	rank := mathrand.Uint32N(guard.RanksPerClass)
-	deadline, ok := e.Lifetime.Limit(time.Now().Add(e.timeout(route, info)), route.TargetLatency)
+	deadline, ok := e.Lifetime.Limit(info.received.Add(e.timeout(route, info)), route.TargetLatency)
 	if !ok {
 		return nil, &refuser.Error{Code: refuser.Draining}
 	}
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -39,6 +39,8 @@
 	failover      bool
 	budget        uint32
 	checkInterval time.Duration
+	// admissionDelay is the time for which each request waits for a token.
+	admissionDelay time.Duration
 
 	mu    sync.Mutex
 	view  *gossiper.View
@@ -94,7 +96,11 @@
 
 func (m *mesh) Fresh() bool { return true }
 
-func (m *mesh) Admit(context.Context, string, time.Duration) error { return nil }
+// Admit admits every request after the admission delay.
+func (m *mesh) Admit(context.Context, string, time.Duration) error {
+	time.Sleep(m.admissionDelay)
+	return nil
+}
 
 // Claim grants each key once.
 func (m *mesh) Claim(_ context.Context, req *schema.ClaimRequest) (*schema.ClaimResponse, error) {
