Write the state of the fleet again when the platform has lost it

Operators of the native interface would lose accepted changes, withdrawn keys among them, and later changes would be accepted but not be in force: after the platform came back from a copy, nodes keep their newer state, ignore the older one, and take no other until its version exceeds theirs. From an empty copy, a watcher wrote a first state. Meanwhile each watcher called the platform 50 times a second.

Cause: the same as in the watches of an attached node: a version compared with one of another history, and a write taken for lasting since it was acknowledged.

Change: a watcher that finds a state older than that of the fleet writes the latter again with a higher version, on condition that the platform still holds the older one, so that a stale read changes nothing. A state of the same version by another write counts as older, too. What it overwrites is logged by change and author. The assigner leaves an older state alone; the domain's heartbeat is written at once. The stand-in learns to copy and restore; entity tags, on which conditional writes rely, are not used again.

Not mended: an operator's edit of the older state that comes before the watcher's write is overwritten and logged.

--- a/assigner/assigner.go
+++ b/assigner/assigner.go
@@ -82,7 +82,8 @@
 		return nil
 	}
 	_, err := a.editor.Edit(ctx, func(s *schema.State) error {
-		if !a.reconcile(s, lost) {
+		// An older state than that of the fleet is about to be replaced.
+		if s.GetVersion() < state.GetVersion() || !a.reconcile(s, lost) {
 			return editor.ErrNoChange
 		}
 		return nil
--- a/editor/editor.go
+++ b/editor/editor.go
@@ -106,6 +106,14 @@
 	return 0, errors.Annotatef(storer.ErrConflict, "gave up after %d attempts", maxAttempts)
 }
 
+// Restore writes a state over an object that has lost it: the platform came back from a
+// copy that is older than the state, with the given version. The state gets a version
+// above its own, which Restore returns, so that nodes that hold it take the written one,
+// too. Restore returns storer.ErrConflict if the object has another version.
+func (e *Editor) Restore(ctx context.Context, state *schema.State, known storer.Version) (uint64, error) {
+	return e.write(ctx, proto.CloneOf(state), known, rand.Text())
+}
+
 // errNoResponse reports a write whose outcome is unknown.
 var errNoResponse = errors.New("no response to a write")
 
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -13,11 +13,16 @@
 // call, "delay" (a duration) delays each one, "lose" drops the responses to
 // writes after they took effect, "stale" serves reads from the previous version.
 // GET /switches returns the switches and the call counts.
+//
+// PUT /copy copies the objects, and PUT /restore replaces them by the last copy, so that
+// later writes are lost. Revisions are given out again then, but not entity tags: they
+// also hold the number of restores before the write.
 package platform
 
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -53,17 +58,31 @@
 }
 
 type object struct {
-	data     []byte
-	version  int64
+	data []byte
+	tag
 	previous []byte
 }
 
+// tag identifies a write.
+type tag struct {
+	era, version int64
+}
+
+// Copy is a copy of the objects of a store.
+type Copy struct {
+	objects  map[string]*object
+	revision int64
+}
+
 // Platform is an object store in memory.
 type Platform struct {
 	mu       sync.Mutex
 	objects  map[string]*object
 	changed  chan struct{}
 	revision int64
+	// era is the number of restores.
+	era      int64
+	copied   *Copy
 	switches Switches
 	counts   Counts
 }
@@ -78,6 +97,8 @@
 	r := mux.NewRouter()
 	r.HandleFunc("/v1/objects/{name}", p.handleRead).Methods(http.MethodGet)
 	r.HandleFunc("/v1/objects/{name}", p.handleWrite).Methods(http.MethodPut)
+	r.HandleFunc("/copy", p.handleCopy).Methods(http.MethodPut)
+	r.HandleFunc("/restore", p.handleRestore).Methods(http.MethodPut)
 	r.HandleFunc("/switches", p.handleGetSwitches).Methods(http.MethodGet)
 	r.HandleFunc("/switches", p.handleSetSwitches).Methods(http.MethodPut)
 	return r
@@ -91,6 +112,42 @@
 	p.notifyWaiters()
 }
 
+// Copy returns a copy of the objects.
+func (p *Platform) Copy() *Copy {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return &Copy{maps.Clone(p.objects), p.revision}
+}
+
+// Restore replaces the objects by a copy.
+func (p *Platform) Restore(c *Copy) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.objects, p.revision = maps.Clone(c.objects), c.revision
+	p.era++
+	p.notifyWaiters()
+}
+
+func (p *Platform) handleCopy(w http.ResponseWriter, _ *http.Request) {
+	copied := p.Copy()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.copied = copied
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) handleRestore(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	copied := p.copied
+	p.mu.Unlock()
+	if copied == nil {
+		http.Error(w, "no copy was made", http.StatusConflict)
+		return
+	}
+	p.Restore(copied)
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // Counts returns the call counts.
 func (p *Platform) Counts() Counts {
 	p.mu.Lock()
@@ -139,7 +196,7 @@
 			http.Error(w, "object store is switched off", http.StatusServiceUnavailable)
 			return
 		}
-		if o != nil && etag(o.version) != knownETag {
+		if o != nil && o.etag() != knownETag {
 			writeObject(w, o, s.Stale)
 			return
 		}
@@ -195,11 +252,11 @@
 }
 
 func writeObject(w http.ResponseWriter, o *object, stale bool) {
-	data, version := o.data, o.version
+	data, t := o.data, o.tag
 	if stale && o.previous != nil {
-		data, version = o.previous, o.version-1
+		data, t.version = o.previous, o.version-1
 	}
-	w.Header().Set("ETag", etag(version))
+	w.Header().Set("ETag", t.etag())
 	_, _ = w.Write(data)
 }
 
@@ -212,39 +269,39 @@
 	if p.applySwitches(w) {
 		return
 	}
-	version, drop, ok := p.replace(mux.Vars(r)["name"], data, r.Header)
+	written, drop, ok := p.replace(mux.Vars(r)["name"], data, r.Header)
 	switch {
 	case !ok:
 		http.Error(w, "If-Match does not name the current version", http.StatusPreconditionFailed)
 	case drop:
 		panic(http.ErrAbortHandler)
 	default:
-		w.Header().Set("ETag", etag(version))
+		w.Header().Set("ETag", written.etag())
 		w.WriteHeader(http.StatusNoContent)
 	}
 }
 
 // replace stores an object if its version matches the If-Match header. drop tells
 // the caller not to send a response.
-func (p *Platform) replace(name string, data []byte, h http.Header) (version int64, drop, ok bool) {
+func (p *Platform) replace(name string, data []byte, h http.Header) (written tag, drop, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.counts.Writes++
 	o := p.objects[name]
 	if o == nil && h.Get("If-Match") != "" {
-		return 0, false, false
+		return tag{}, false, false
 	}
-	if o != nil && h.Get("If-Match") != etag(o.version) {
-		return 0, false, false
+	if o != nil && h.Get("If-Match") != o.etag() {
+		return tag{}, false, false
 	}
 	p.revision++
-	next := &object{data: data, version: p.revision}
+	next := &object{data: data, tag: tag{p.era, p.revision}}
 	if o != nil {
 		next.previous = o.data
 	}
 	p.objects[name] = next
 	p.notifyWaiters()
-	return next.version, p.switches.DropWriteResponses, true
+	return next.tag, p.switches.DropWriteResponses, true
 }
 
 func (p *Platform) handleGetSwitches(w http.ResponseWriter, _ *http.Request) {
@@ -263,8 +320,8 @@
 	p.SetSwitches(s)
 }
 
-func etag(version int64) string {
-	return `"` + strconv.FormatInt(version, 10) + `"`
+func (t tag) etag() string {
+	return `"` + strconv.FormatInt(t.era, 10) + "." + strconv.FormatInt(t.version, 10) + `"`
 }
 
 // parseWait returns the wait in the Prefer header, or zero if there is none.
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -8,6 +8,11 @@
 // addresses of nodes that new nodes can join. Each watcher runs the assigner; the
 // assigner delays the writes of all but the first watcher.
 //
+// A platform that comes back from a copy has lost states that it had accepted and that
+// nodes have in force. A watcher that finds a state older than that of the fleet writes
+// the latter again, on condition that the platform still holds the older one: a stale read
+// changes nothing.
+//
 // # Usage
 //
 //	w := watcher.New(options)
@@ -66,6 +71,11 @@
 	Step(ctx context.Context, state *schema.State, position int, lost set.Set[string]) error
 }
 
+// Restorer writes a state again that the platform has lost.
+type Restorer interface {
+	Restore(ctx context.Context, state *schema.State, known storer.Version) (uint64, error)
+}
+
 // Logger logs events that operators act on.
 type Logger interface {
 	Warn(msg any, keyvals ...any)
@@ -78,6 +88,7 @@
 	Confirmer Confirmer
 	Fleet     Fleet
 	Assigner  Assigner
+	Restorer  Restorer
 	Logger    Logger
 	Name      string
 	Address   string
@@ -157,14 +168,15 @@
 	object, err := w.Store.Watch(ctx, editor.Object, w.objectVersion, w.Poll)
 	switch {
 	case errors.Is(err, storer.ErrUnchanged):
-		w.confirm(sent)
+		w.confirm(ctx, sent)
 	case errors.Is(err, storer.ErrMissing):
 		w.create(ctx)
 	case err != nil:
 		w.markPlatformDown(err)
 		return false
 	default:
-		w.apply(object, sent)
+		w.markPlatformUp()
+		return w.apply(ctx, object, sent)
 	}
 	w.markPlatformUp()
 	return true
@@ -172,39 +184,103 @@
 
 // confirm confirms the state after the platform answered that the object is
 // unchanged. If this node has meanwhile received a newer state from other nodes,
-// the answer is stale and confirms nothing. The platform compares versions at the
-// end of the wait; the start of the wait is a safe bound for the age of the
-// answer.
-func (w *Watcher) confirm(sent time.Time) {
-	if w.stateVersion == w.Confirmer.Version() {
+// the answer is stale and confirms nothing, or the platform has lost the newer state.
+// The platform compares versions at the end of the wait; the start of the wait is a safe
+// bound for the age of the answer.
+func (w *Watcher) confirm(ctx context.Context, sent time.Time) {
+	switch version := w.Confirmer.Version(); {
+	case w.stateVersion == version:
 		w.Confirmer.Confirm(w.stateVersion, sent)
+	case w.stateVersion < version:
+		w.restore(ctx, w.stateVersion, nil, w.objectVersion)
 	}
 }
 
-func (w *Watcher) apply(object storer.Object, sent time.Time) {
+// apply applies a state read from the platform. It returns false if the state is older
+// than that of the fleet and could not be replaced, as after a stale read.
+func (w *Watcher) apply(ctx context.Context, object storer.Object, sent time.Time) bool {
 	state := &schema.State{}
 	if err := proto.Unmarshal(object.Data, state); err != nil {
 		w.Logger.Warn("cannot decode the state read from the platform", "err", err)
-		return
+		return true
 	}
-	if state.GetVersion() < w.Confirmer.Version() {
-		// A stale read neither changes nor confirms anything.
-		return
+	if w.isOlder(state) {
+		return w.restore(ctx, state.GetVersion(), state.GetChanges(), object.Version)
 	}
 	w.objectVersion, w.stateVersion = object.Version, state.GetVersion()
 	applied, err := w.Confirmer.Apply(object.Data)
 	if err != nil {
 		w.Logger.Warn("the state read from the platform is not valid", "err", err)
-		return
+		return true
 	}
 	w.Confirmer.Confirm(state.GetVersion(), sent)
 	if applied {
 		w.Fleet.Push()
 	}
+	return true
+}
+
+// isOlder reports whether a state lacks writes that this node knows to be accepted. A
+// state of the same version by another write was written after a restore.
+func (w *Watcher) isOlder(state *schema.State) bool {
+	snapshot := w.Confirmer.Snapshot()
+	if snapshot == nil || state.GetVersion() > snapshot.Version() {
+		return false
+	}
+	return state.GetVersion() < snapshot.Version() || lastWrite(state) != lastWrite(snapshot.State)
 }
 
-// create writes the first state of a new fleet.
+// lastWrite returns the ID of the write of a state.
+func lastWrite(s *schema.State) string {
+	if n := len(s.GetChanges()); n > 0 {
+		return s.GetChanges()[n-1].GetId()
+	}
+	return ""
+}
+
+// restore writes the state of this node over an older one with the given version, changes
+// and object version. It reports whether the state was written.
+func (w *Watcher) restore(ctx context.Context, found uint64, changes []*schema.Change, known storer.Version) bool {
+	// The heartbeat may be lost, too, and new nodes find the fleet by it.
+	w.lastHeartbeat = time.Time{}
+	state := w.Confirmer.Snapshot().State
+	version, err := w.Restorer.Restore(ctx, state, known)
+	if errors.Is(err, storer.ErrConflict) {
+		return false
+	}
+	if err != nil {
+		w.markPlatformDown(err)
+		return false
+	}
+	w.Logger.Warn("the platform had lost accepted states; wrote the state of the fleet again",
+		"found", found, "fleet", state.GetVersion(), "written", version, "overwritten", unknownChanges(changes, state))
+	return true
+}
+
+// unknownChanges lists the changes that a state does not contain, which operators must
+// make again. A state keeps only its recent changes.
+func unknownChanges(changes []*schema.Change, state *schema.State) []string {
+	known, oldest := set.Of[string](), state.GetVersion()
+	for _, c := range state.GetChanges() {
+		known.Add(c.GetId())
+		oldest = min(oldest, c.GetVersion())
+	}
+	var unknown []string
+	for _, c := range changes {
+		if c.GetVersion() >= oldest && !known.Has(c.GetId()) {
+			unknown = append(unknown, c.GetId()+" by "+c.GetAuthor())
+		}
+	}
+	return unknown
+}
+
+// create writes the first state of a new fleet, or the state of a fleet whose platform has
+// lost it.
 func (w *Watcher) create(ctx context.Context) {
+	if w.Confirmer.Snapshot() != nil {
+		w.restore(ctx, 0, nil, storer.Absent)
+		return
+	}
 	data, err := proto.Marshal(&schema.State{Version: 1, Domains: []string{w.Domain}})
 	if err == nil {
 		_, err = w.Store.Write(ctx, editor.Object, data, storer.Absent)
