Read the configuration soon after a restored platform answers

Cause: after an outage the pause before reading again took the backoff of the outage, so that up to 2 s passed between the return of the store and the read. Change: the backoff starts anew once the platform has answered.

--- a/attacher/config_watcher.go
+++ b/attacher/config_watcher.go
@@ -102,6 +102,10 @@
 		case errors.Is(err, storer.ErrMissing) && known != storer.Absent:
 			w.reporter.Notice("history_lost", "version", string(known))
 			known = storer.Absent
+			if w.platformLost {
+				// The platform has answered, so the backoff of the outage is over.
+				backoff = minBackoff
+			}
 			// The next read may return the same old version.
 			sleep(ctx, backoff/4+rand.N(backoff/4))
 			backoff = min(2*backoff, maxBackoff)
