Spread the watches of all nodes over the whole interval

Cause: the store drops its history with the change in it, and open watches hear nothing, so that only a watch that starts later shows the loss. Four a second over the fleet were meant to start at any time. But a start of the fleet, each change and each outage end the watches of all nodes together, and the next ones had waits of 0.75 to 1.25 of the same mean, 14 to 24 s at 76 nodes: no watch started in the 14 s after.

Change: waits are drawn evenly from twice the mean, so their number stays the same, and watches start at any time also after an event for all nodes. A node that starts knows no others and draws a short wait first; that aligns nothing any more.

--- a/attacher/config_watcher.go
+++ b/attacher/config_watcher.go
@@ -21,9 +21,10 @@
 	// starts a watch detects the loss, reads the configuration again and
 	// notifies the other nodes.
 	watchStartsPerSecond = 4
-	// minWatchWait and maxWatchWait bound the wait of one watch.
-	minWatchWait = time.Second
-	maxWatchWait = 25 * time.Second
+	// minWatchInterval and maxWatchInterval bound the interval from which the wait of
+	// a watch is drawn.
+	minWatchInterval = time.Second
+	maxWatchInterval = 25 * time.Second
 	// minBackoff and maxBackoff bound the backoff after a failed call.
 	minBackoff = 200 * time.Millisecond
 	maxBackoff = time.Second
@@ -123,11 +124,12 @@
 	}
 }
 
-// nextWatchWait returns a random wait for the next watch, so that the watches of
-// the nodes start at different times.
+// nextWatchWait returns a random wait for the next watch. A start of the fleet, a change or
+// an outage ends the watches of all nodes together, so the waits are drawn from the whole
+// interval: if they all had about its length, no node would start a watch for most of it.
 func (w *configWatcher) nextWatchWait() time.Duration {
 	mean := time.Duration(w.nodes()) * time.Second / watchStartsPerSecond
-	return min(max(mean*3/4+rand.N(mean/2+1), minWatchWait), maxWatchWait)
+	return checkWait + rand.N(min(max(2*mean, minWatchInterval), maxWatchInterval))
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/attacher/config_watcher_test.go
+++ b/attacher/config_watcher_test.go
@@ -185,3 +185,67 @@
 		})
 	}
 }
+
+// TestHistoryLostInLargeFleet guards against a fleet that does not learn of a change for
+// most of the interval between two watches: the platform drops its history with the change
+// in it and leaves open watches without an answer, so that only a watch that starts later
+// shows the loss. All nodes have started their watches together, at their own start or with
+// an earlier change. One node that learns of the change tells the others.
+func TestHistoryLostInLargeFleet(t *testing.T) {
+	const nodes, bound = 76, 5 * time.Second
+	cases := map[string]struct {
+		// change is made some time before the loss.
+		change func(s *fakeSource)
+		age    time.Duration
+	}{
+		"soon after the start":   {func(*fakeSource) {}, 500 * time.Millisecond},
+		"soon after a change":    {func(s *fakeSource) { s.version = 4 }, 500 * time.Millisecond},
+		"later":                  {func(s *fakeSource) { s.version = 4 }, 8 * time.Second},
+		"after a whole interval": {func(s *fakeSource) { s.version = 4 }, 40 * time.Second},
+		"after an outage":        {func(s *fakeSource) { s.down = true }, 4 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				s := &fakeSource{version: 3, readable: true}
+				var states []*confirmer.Confirmer
+				began := time.Now()
+				// A node that starts does not know the others at first.
+				known := func() int {
+					if time.Since(began) < 100*time.Millisecond {
+						return 1
+					}
+					return nodes
+				}
+				ctx, cancel := context.WithCancel(context.Background())
+				var group sync.WaitGroup
+				defer group.Wait()
+				defer cancel()
+				for range nodes {
+					state := confirmer.New("a", configMaxAge)
+					states = append(states, state)
+					cl := caller.New("node-1", state, nil, nil)
+					cl.Attach(&beaconFleet{beaconer.New(&schema.Member{Name: "node-1"}, noopBeacons{}, noopBeacons{}, time.Second)})
+					w := newConfigWatcher(s, state, reporter.New(io.Discard, "node-1", log.InfoLevel), cl, known)
+					group.Go(func() { w.run(ctx) })
+				}
+				newest := func() uint64 {
+					version := uint64(0)
+					for _, state := range states {
+						version = max(version, state.Version())
+					}
+					return version
+				}
+				time.Sleep(time.Second)
+				s.set(c.change)
+				time.Sleep(c.age)
+				s.set(func(s *fakeSource) { s.down = false })
+				time.Sleep(2 * time.Second)
+				s.set(func(s *fakeSource) { s.version, s.oldestVersion = 9, 9 })
+				time.Sleep(bound)
+				g.Expect(newest()).To(Equal(uint64(9)))
+			})
+		})
+	}
+}
