--- a/forwarder/attemptwatch.go
+++ b/forwarder/attemptwatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"quetzalhub/balancer"
@@ -44,7 +45,9 @@
 // startWatch starts checking an attempt after the check interval.
 func (d *Dispatcher) startWatch(ctx context.Context, cancel context.CancelFunc, a *attempt) *attemptWatch {
 	w := &attemptWatch{dispatcher: d, cancel: cancel, attempt: a, ctx: ctx, finalProgress: make(chan schema.Progress, 1)}
-	w.timer = time.AfterFunc(d.checkInterval, w.run)
+	// run uses the timer, so it is started only once it is assigned.
+	w.timer = time.AfterFunc(math.MaxInt64, w.run)
+	w.timer.Reset(d.checkInterval)
 	return w
 }
 
