Relay the beacons of large fleets

Cause: every node sent its whole beacon, usage of all workspaces included, to every other one, and made a new copy of the table after each datagram. The work of each node grew with the fleet, the work of copying with its square.

Change: from 32 nodes on, beacons go through the relay of a group of at most 20 nodes, leave out what has not changed, and the table is copied at each tick or when a node or its upstream changes state. Nodes send directly to those that they do not hear. Small fleets and fleets with a node of an earlier release work as before.

TestLargeFleetChanges kills relays, cuts them off and loses datagrams; it found that a relay did not pass on beacons which it had also received directly.

--- a/beaconer/beaconer.go
+++ b/beaconer/beaconer.go
@@ -2,6 +2,14 @@
 // node can reach all others: each node sends a beacon to all others at a short
 // interval, over UDP.
 //
+// In a large fleet, beacons go through relays. A node sends its beacon to the relay of
+// its group, a part of its failure domain. The relay passes on the beacons of the group to
+// the other relays, and those of all groups to its group, many in one datagram. Roles
+// follow from what is sent: a node is a relay as long as others ask it to pass on their
+// beacons. No election is needed: a node sends its beacons directly to all nodes from which
+// it has not heard lately, which answer directly, and to all nodes while its relay does not
+// return them. Then it chooses another one. Relayed beacons leave out what has not changed.
+//
 // A beacon holds the node's record, the load of its local upstream, the version
 // of its state and its usage by workspace. A node that sends no beacon for
 // several intervals is silent and no longer picked for calls. It stays in the
@@ -10,7 +18,7 @@
 // neighbors listed in them.
 //
 // The interval grows with the fleet, which bounds the number of datagrams that
-// a node sends and receives per second.
+// a relay sends per second.
 //
 // # Usage
 //
@@ -32,6 +40,7 @@
 
 	"quetzalhub/gossiper"
 	"quetzalhub/schema"
+	"quetzalhub/util/repeater"
 )
 
 // Transport sends datagrams.
@@ -73,6 +82,8 @@
 	// maxBeaconsPerSecond bounds the beacons that a node sends. At 20 µs per
 	// datagram this is less than one percent of a core.
 	maxBeaconsPerSecond = 400
+	// intervalStep is the granularity of the interval between beacons.
+	intervalStep = 20 * time.Millisecond
 	// silentIntervals is the number of intervals without a beacon after which a
 	// node is silent. Single datagrams get lost, but rarely four in a row.
 	silentIntervals = 5
@@ -91,25 +102,11 @@
 	inflowsEvery = 2
 	// neighborsEvery means that one in this many beacons lists neighbors and remarks.
 	neighborsEvery = 10
+	// fullEvery means that one in this many relayed beacons is not a delta. The first
+	// startupBeacons after a start are not deltas either.
+	fullEvery = 10
 )
 
-// peer is an entry of the table.
-type peer struct {
-	address string
-	// member is nil until the first beacon arrives.
-	member *schema.Member
-	// number is the sequence number of the last accepted beacon.
-	number uint64
-	// previousIncarnation is kept because its datagrams may arrive late.
-	// Incarnations are random, since clocks may step back, so their order does
-	// not show which is newer.
-	previousIncarnation uint64
-	lastBeacon          time.Time
-	// silent is true while the node is not eligible for calls.
-	silent bool
-	usages []*schema.Usage
-}
-
 // Beaconer sends and receives beacons and maintains the membership table.
 type Beaconer struct {
 	interval  time.Duration
@@ -122,7 +119,8 @@
 	actions     chan func()
 	view        atomic.Pointer[gossiper.View]
 	usages      atomic.Pointer[map[string][]*schema.Usage]
-	lastBeacons atomic.Pointer[map[string]time.Time]
+	lastBeacons atomic.Pointer[map[string]*atomic.Int64]
+	started     time.Time
 	leaving     atomic.Bool
 	incarnation uint64
 
@@ -132,8 +130,11 @@
 	number uint64
 	ticks  int
 	peers  map[string]*peer
-	// dirty is true if the table changed after it was published.
+	// dirty is true if the table must be published before the next tick.
 	dirty bool
+	relay relay
+	// sentUsages holds the arrivals by workspace that were last sent.
+	sentUsages map[string]float32
 }
 
 // New returns a Beaconer for the node self.
@@ -147,9 +148,13 @@
 		inbox:       make(chan []byte, inboxLength),
 		actions:     make(chan func(), inboxLength),
 		incarnation: self.GetIncarnation(),
+		started:     time.Now(),
 		self:        self,
 		peers:       map[string]*peer{},
+		relay:       relay{subscribers: map[string]time.Time{}, distrustedUntil: map[string]time.Time{}},
+		sentUsages:  map[string]float32{},
 	}
+	self.Digests = true
 	b.publish()
 	return b
 }
@@ -168,7 +173,15 @@
 // none was received.
 func (b *Beaconer) SinceLastBeacon(name string) (time.Duration, bool) {
 	at, ok := (*b.lastBeacons.Load())[name]
-	return time.Since(at), ok
+	if !ok {
+		return 0, false
+	}
+	return time.Since(b.started) - time.Duration(at.Load()), true
+}
+
+// age returns the time since the last accepted beacon of a node.
+func (b *Beaconer) age(p *peer, now time.Time) time.Duration {
+	return now.Sub(b.started) - time.Duration(p.lastBeacon.Load())
 }
 
 // Receive queues a datagram without blocking. The datagram is dropped if the
@@ -199,8 +212,11 @@
 
 // Run sends and handles beacons until the context ends.
 func (b *Beaconer) Run(ctx context.Context) {
-	timer := time.NewTimer(b.interval)
+	timer := time.NewTimer(repeater.Align(0, b.sendInterval()))
 	defer timer.Stop()
+	// The timer runs only while there is something to pass on.
+	b.relay.flushTimer = time.NewTimer(0)
+	defer b.relay.flushTimer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -211,7 +227,9 @@
 			action()
 		case <-timer.C:
 			b.tick()
-			timer.Reset(b.sendInterval())
+			timer.Reset(repeater.Align(0, b.sendInterval()))
+		case <-b.relay.flushTimer.C:
+			b.flush(time.Now())
 		}
 		if b.dirty && len(b.inbox) == 0 {
 			b.publish()
@@ -219,179 +237,101 @@
 	}
 }
 
-// sendInterval returns the interval for the current size of the fleet.
+// sendInterval returns the interval for the current size of the fleet. It is a multiple of
+// intervalStep, so that ticks and flushes stay aligned.
 func (b *Beaconer) sendInterval() time.Duration {
-	return max(b.interval, time.Duration(len(b.peers))*time.Second/maxBeaconsPerSecond)
+	datagrams, perSecond := len(b.peers), maxBeaconsPerSecond
+	if b.relay.inUse {
+		datagrams, perSecond = relayedDatagrams(len(b.peers)), maxRelayedPerSecond
+	}
+	needed := time.Duration(datagrams) * time.Second / time.Duration(perSecond)
+	return max(b.interval, (needed + intervalStep - 1).Truncate(intervalStep))
 }
 
 // tick sends a beacon to the other nodes and checks for silent ones.
 func (b *Beaconer) tick() {
 	b.ticks++
-	datagram := b.encodeBeacon(false)
+	now := time.Now()
+	b.relay.choose(b, now)
+	b.number++
+	relayed := b.sendToRelay(now)
+	var plain, asking []byte
 	for _, p := range b.peers {
-		if !p.silent || b.ticks%silentEvery == 0 {
-			b.transport.Send(p.address, datagram)
+		missing := b.isMissing(p, now)
+		switch {
+		case p.silent && b.ticks%silentEvery != 0:
+		case missing || !relayed:
+			if asking == nil {
+				asking = b.encodeBeacon(beaconOptions{direct: true})
+			}
+			b.transport.Send(p.address, asking)
+		case now.Before(p.directUntil):
+			if plain == nil {
+				plain = b.encodeBeacon(beaconOptions{})
+			}
+			b.transport.Send(p.address, plain)
 		}
 	}
-	b.expire(time.Now())
+	b.expire(now)
 	b.dirty = true
 }
 
+// isMissing reports whether a node should have sent a beacon that has not arrived. It
+// probably receives none either, so that both sides send theirs directly.
+func (b *Beaconer) isMissing(p *peer, now time.Time) bool {
+	return p.silent || b.age(p, now) > lateIntervals*b.sendInterval()
+}
+
 func (b *Beaconer) broadcast() {
-	datagram := b.encodeBeacon(true)
+	b.number++
+	datagram := b.encodeBeacon(beaconOptions{withRemarks: true})
 	for _, p := range b.peers {
 		b.transport.Send(p.address, datagram)
 	}
 	b.dirty = true
 }
 
-func (b *Beaconer) expire(now time.Time) {
-	for name, p := range b.peers {
-		age := now.Sub(p.lastBeacon)
-		if !p.silent && age > silentIntervals*b.sendInterval() {
-			p.silent = true
-			b.dirty = true
-			if p.member != nil {
-				b.notifySilent(p.member)
-			}
-		}
-		if age > peerRetention {
-			delete(b.peers, name)
-			b.dirty = true
-		}
-	}
-}
-
-func (b *Beaconer) notifySilent(m *schema.Member) {
-	for _, l := range b.listeners {
-		l.NodeSilent(m)
-	}
-}
-
-// ownRecord returns the current record of this node.
-func (b *Beaconer) ownRecord() *schema.Member {
-	m := proto.CloneOf(b.self)
-	m.Endpoints = b.source.Endpoints()
-	if b.leaving.Load() {
-		m.Status = schema.Status_STATUS_LEFT
-	}
-	return m
-}
-
-// encodeBeacon returns the next beacon. A node that has just started needs the remarks
-// at once; others receive them with one in neighborsEvery beacons.
-func (b *Beaconer) encodeBeacon(withRemarks bool) []byte {
-	b.number++
-	beacon := &schema.Beacon{Member: b.ownRecord(), Version: b.source.Version(), Number: b.number, Usages: b.source.Usages()}
-	every := uint64(profilesEvery)
-	if b.number <= startupBeacons {
-		every = startupProfilesEvery
-	}
-	if b.number%every == 0 {
-		beacon.Profiles = b.source.Profiles()
-	}
-	if b.number%inflowsEvery == 0 {
-		beacon.Inflows = b.source.Inflows()
-	}
-	if withRemarks || b.number%neighborsEvery == 0 {
-		beacon.Remarks = b.source.Remarks()
-	}
-	for name, p := range b.peers {
-		if b.number%neighborsEvery != 0 {
-			break
-		}
-		if len(beacon.Neighbors) == maxNeighbors {
-			break
-		}
-		if !p.silent {
-			beacon.Neighbors = append(beacon.Neighbors, &schema.Neighbor{Name: name, Address: p.address})
-		}
-	}
-	data, err := proto.Marshal(beacon)
-	if err != nil {
-		// A message built by this package can always be encoded.
-		panic(err)
-	}
-	return data
-}
-
 func (b *Beaconer) addNode(name, address string) {
 	if name == b.name || address == b.self.GetBeacon() {
 		return
 	}
 	p := b.peers[name]
 	if p == nil {
-		p = &peer{lastBeacon: time.Now(), silent: true}
+		p = &peer{lastBeacon: &atomic.Int64{}, silent: true}
+		p.lastBeacon.Store(int64(time.Since(b.started)))
 		b.peers[name] = p
 	}
 	if p.member == nil && p.address != address {
 		p.address = address
-		b.transport.Send(address, b.encodeBeacon(false))
+		b.number++
+		b.transport.Send(address, b.encodeBeacon(beaconOptions{}))
 	}
 }
 
 func (b *Beaconer) handle(datagram []byte) {
 	beacon := &schema.Beacon{}
-	if err := proto.Unmarshal(datagram, beacon); err != nil || beacon.GetMember().GetName() == "" {
+	if err := proto.Unmarshal(datagram, beacon); err != nil {
 		return
 	}
+	for _, r := range beacon.GetRelayed() {
+		b.handleRelayed(r, beacon.GetRelay())
+	}
 	m := beacon.GetMember()
-	if m.GetName() == b.name {
+	if m.GetName() == "" || m.GetName() == b.name {
 		return
 	}
 	b.applyBeacon(m, beacon)
 	for _, n := range beacon.GetNeighbors() {
 		b.addNode(n.GetName(), n.GetAddress())
 	}
-}
-
-// applyBeacon updates the entry of a node, unless the beacon is outdated.
-func (b *Beaconer) applyBeacon(m *schema.Member, beacon *schema.Beacon) {
-	p := b.peers[m.GetName()]
-	if p == nil {
-		p = &peer{}
-		b.peers[m.GetName()] = p
-	}
-	previous := p.member
-	sameIncarnation := previous != nil && previous.GetIncarnation() == m.GetIncarnation()
-	if sameIncarnation && p.number >= beacon.GetNumber() || p.previousIncarnation == m.GetIncarnation() {
-		return
-	}
-	if previous != nil && !sameIncarnation {
-		p.previousIncarnation = previous.GetIncarnation()
+	if beacon.GetRelay() {
+		b.relay.subscribers[m.GetName()] = time.Now()
 	}
-	p.address, p.member, p.number, p.lastBeacon = m.GetBeacon(), m, beacon.GetNumber(), time.Now()
-	p.usages = beacon.GetUsages()
-	if !sameIncarnation {
-		b.transport.Send(p.address, b.encodeBeacon(true))
+	if p := b.peers[m.GetName()]; p != nil && beacon.GetDirect() {
+		p.directUntil = time.Now().Add(directIntervals * b.sendInterval())
 	}
-	p.silent = false
-	b.dirty = true
-	for _, l := range b.listeners {
-		l.BeaconReceived(m, beacon)
-	}
-}
-
-// publish stores copies of the table for readers in other goroutines.
-func (b *Beaconer) publish() {
-	members := map[string]*schema.Member{b.name: b.ownRecord()}
-	usages := map[string][]*schema.Usage{}
-	lastBeacons := map[string]time.Time{}
-	for name, p := range b.peers {
-		if p.member == nil {
-			continue
-		}
-		usages[name] = p.usages
-		lastBeacons[name] = p.lastBeacon
-		m := p.member
-		if p.silent && m.GetStatus() == schema.Status_STATUS_ALIVE {
-			m = proto.CloneOf(m)
-			m.Status = schema.Status_STATUS_FAILED
-		}
-		members[name] = m
+	if beacon.GetRelay() && b.takesForRelay(m.GetName(), m.GetIncarnation(), beacon.GetNumber()) {
+		b.relay.group = append(b.relay.group, newRelayed(m, beacon.GetNumber(), datagram))
+		b.scheduleFlush()
 	}
-	b.view.Store(gossiper.NewView(members))
-	b.usages.Store(&usages)
-	b.lastBeacons.Store(&lastBeacons)
-	b.dirty = false
 }
--- a/beaconer/beaconer_test.go
+++ b/beaconer/beaconer_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"quetzalhub/beaconer"
 	"quetzalhub/schema"
@@ -22,10 +23,18 @@
 	nodes       map[string]*node
 	partitioned map[string]bool
 	loss        float64
-	rng         *rand.Rand
-	sent        int
+	// rewrite changes the beacons of an address before they are sent. It may be nil.
+	rewrite func(from string, beacon *schema.Beacon)
+	// blocked drops datagrams between two addresses. It may be nil.
+	blocked func(from, to string) bool
+	rng     *rand.Rand
+	sent    int
 	// listeners are notified by the nodes started next.
 	listeners []beaconer.Listener
+	// bytes is the size of all datagrams sent.
+	bytes int
+	// usages is reported by all nodes; it is one small entry unless set.
+	usages []*schema.Usage
 	// latest holds the last datagram sent from each address, for replays.
 	latest map[string][]byte
 }
@@ -34,6 +43,7 @@
 	*beaconer.Beaconer
 	net     *network
 	address string
+	domain  string
 	ready   atomic.Bool
 	cancel  context.CancelFunc
 	stopped chan struct{}
@@ -44,10 +54,20 @@
 func (n *node) Send(address string, datagram []byte) {
 	n.net.mu.Lock()
 	defer n.net.mu.Unlock()
+	if n.net.rewrite != nil {
+		beacon := &schema.Beacon{}
+		if err := proto.Unmarshal(datagram, beacon); err != nil {
+			panic(err)
+		}
+		n.net.rewrite(n.address, beacon)
+		datagram, _ = proto.Marshal(beacon)
+	}
 	n.net.sent++
+	n.net.bytes += len(datagram)
 	n.net.latest[n.address] = datagram
 	to := n.net.nodes[address]
-	if to == nil || n.net.partitioned[n.address] != n.net.partitioned[address] || n.net.rng.Float64() < n.net.loss {
+	if to == nil || n.net.partitioned[n.address] != n.net.partitioned[address] || n.net.rng.Float64() < n.net.loss ||
+		n.net.blocked != nil && n.net.blocked(n.address, address) {
 		return
 	}
 	time.AfterFunc(time.Millisecond, func() { to.Receive(datagram) })
@@ -68,12 +88,15 @@
 }
 
 func (n *node) Inflows() []*schema.Inflow   { return nil }
-func (n *node) Usages() []*schema.Usage     { return []*schema.Usage{{Workspace: "gloves", Arrivals: 2}} }
+func (n *node) Usages() []*schema.Usage     { return n.net.usages }
 func (n *node) Profiles() []*schema.Profile { return nil }
 func (n *node) Version() uint64             { return 1 }
 
 func newNetwork() *network {
-	return &network{nodes: map[string]*node{}, partitioned: map[string]bool{}, rng: rand.New(rand.NewPCG(1, 2)), latest: map[string][]byte{}}
+	return &network{
+		nodes: map[string]*node{}, partitioned: map[string]bool{}, rng: rand.New(rand.NewPCG(1, 2)), latest: map[string][]byte{},
+		usages: []*schema.Usage{{Workspace: "gloves", Arrivals: 2}},
+	}
 }
 
 func name(i int) string    { return fmt.Sprint("node-", i) }
@@ -81,13 +104,13 @@
 
 // start starts node i, which learns of the known nodes from the directory.
 func (nw *network) start(i int, known ...int) *node {
-	n := &node{net: nw, address: address(i), stopped: make(chan struct{})}
+	n := &node{net: nw, address: address(i), domain: fmt.Sprint("domain-", i%domains), stopped: make(chan struct{})}
 	n.ready.Store(true)
 	nw.mu.Lock()
 	incarnation := nw.rng.Uint64()
 	nw.mu.Unlock()
 	n.Beaconer = beaconer.New(&schema.Member{
-		Name: name(i), Beacon: n.address, Status: schema.Status_STATUS_ALIVE, Incarnation: incarnation,
+		Name: name(i), Domain: n.domain, Beacon: n.address, Status: schema.Status_STATUS_ALIVE, Incarnation: incarnation,
 	}, n, n, 200*time.Millisecond, nw.listeners...)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
@@ -251,6 +274,13 @@
 	}
 }
 
+// isDigest reports whether the last datagram of an address holds relayed beacons. The caller
+// holds the lock.
+func (nw *network) isDigest(from string) bool {
+	beacon := &schema.Beacon{}
+	return proto.Unmarshal(nw.latest[from], beacon) == nil && len(beacon.GetRelayed()) > 0
+}
+
 // setLoss sets the share of datagrams that are dropped.
 func (nw *network) setLoss(share float64) {
 	nw.mu.Lock()
@@ -272,6 +302,13 @@
 	return nw.sent
 }
 
+// sentBytes returns the size of the datagrams sent by all nodes.
+func (nw *network) sentBytes() int {
+	nw.mu.Lock()
+	defer nw.mu.Unlock()
+	return nw.bytes
+}
+
 // firstBeacon starts a node, stops it and returns its first beacon, which it
 // sends to an address without a node.
 func (nw *network) firstBeacon(i int) []byte {
--- /dev/null
+++ b/beaconer/encode.go
@@ -0,0 +1,114 @@
+package beaconer
+
+import (
+	"math"
+
+	"google.golang.org/protobuf/proto"
+
+	"quetzalhub/schema"
+)
+
+const (
+	// A usage is left out of a delta unless it differs from the last one sent by more
+	// than minUsageChange requests per second and usageChangeRatio of it.
+	minUsageChange   = 0.3
+	usageChangeRatio = 0.2
+)
+
+// beaconOptions selects the content of a beacon.
+type beaconOptions struct {
+	// withRemarks adds the remarks, which others receive with one in neighborsEvery
+	// beacons. A node that has just started needs them at once.
+	withRemarks bool
+	// relay asks the receiver to pass on the beacon.
+	relay bool
+	// delta leaves out what has not changed.
+	delta bool
+	// direct asks the receiver to send its beacons directly.
+	direct bool
+}
+
+// ownRecord returns the current record of this node.
+func (b *Beaconer) ownRecord() *schema.Member {
+	m := proto.CloneOf(b.self)
+	m.Endpoints = b.source.Endpoints()
+	m.Relaying = b.relay.serves()
+	if b.leaving.Load() {
+		m.Status = schema.Status_STATUS_LEFT
+	}
+	return m
+}
+
+// encodeBeacon returns a beacon with the current sequence number.
+func (b *Beaconer) encodeBeacon(o beaconOptions) []byte {
+	beacon := &schema.Beacon{
+		Member: b.ownRecord(), Version: b.source.Version(), Number: b.number, Usages: b.source.Usages(), Relay: o.relay, Delta: o.delta, Direct: o.direct,
+	}
+	if o.delta {
+		m := beacon.Member
+		m.Address, m.Admin, m.Beacon, m.Domain, m.Region = "", "", "", "", ""
+		beacon.Usages = b.changedUsages(beacon.Usages)
+	} else if o.relay {
+		b.storeSentUsages(beacon.Usages)
+	}
+	every := uint64(profilesEvery)
+	if b.number <= startupBeacons {
+		every = startupProfilesEvery
+	}
+	if b.number%every == 0 {
+		beacon.Profiles = b.source.Profiles()
+	}
+	if b.number%inflowsEvery == 0 {
+		beacon.Inflows = b.source.Inflows()
+	}
+	if o.withRemarks || b.number%neighborsEvery == 0 {
+		beacon.Remarks = b.source.Remarks()
+	}
+	if b.number%neighborsEvery == 0 {
+		beacon.Neighbors = b.someNeighbors()
+	}
+	return encode(beacon)
+}
+
+// someNeighbors returns some nodes that are not silent.
+func (b *Beaconer) someNeighbors() []*schema.Neighbor {
+	var list []*schema.Neighbor
+	for name, p := range b.peers {
+		if len(list) == maxNeighbors {
+			break
+		}
+		if !p.silent {
+			list = append(list, &schema.Neighbor{Name: name, Address: p.address})
+		}
+	}
+	return list
+}
+
+func encode(beacon *schema.Beacon) []byte {
+	data, err := proto.Marshal(beacon)
+	if err != nil {
+		// A message built by this package can always be encoded.
+		panic(err)
+	}
+	return data
+}
+
+func (b *Beaconer) storeSentUsages(usages []*schema.Usage) {
+	clear(b.sentUsages)
+	for _, u := range usages {
+		b.sentUsages[u.GetWorkspace()] = u.GetArrivals()
+	}
+}
+
+// changedUsages returns the usages that differ from those last sent.
+func (b *Beaconer) changedUsages(usages []*schema.Usage) []*schema.Usage {
+	var changed []*schema.Usage
+	for _, u := range usages {
+		sent := b.sentUsages[u.GetWorkspace()]
+		if math.Abs(float64(u.GetArrivals()-sent)) > max(minUsageChange, usageChangeRatio*float64(sent)) {
+			b.sentUsages[u.GetWorkspace()] = u.GetArrivals()
+			changed = append(changed, u)
+		}
+	}
+	return changed
+}
