Wake up less often in idle nodes

Cause: loops and the timers of attempts fired at times of their own, and the supervisor looked every 50 ms whether a confirmed upstream needs a health check. Each time a process wakes up costs more than what it then does.

Change: loops and the checks of attempts are aligned to multiples of their interval. A confirmed upstream is looked at every 200 ms; its loss wakes the supervisor at once.

--- a/forwarder/attemptwatch.go
+++ b/forwarder/attemptwatch.go
@@ -9,6 +9,7 @@
 	"quetzalhub/fencer"
 	"quetzalhub/refuser"
 	"quetzalhub/schema"
+	"quetzalhub/util/repeater"
 )
 
 const (
@@ -47,14 +48,20 @@
 	w := &attemptWatch{dispatcher: d, cancel: cancel, attempt: a, ctx: ctx, finalProgress: make(chan schema.Progress, 1)}
 	// run uses the timer, so it is started only once it is assigned.
 	w.timer = time.AfterFunc(math.MaxInt64, w.run)
-	w.timer.Reset(d.checkInterval)
+	w.schedule()
 	return w
 }
 
+// schedule starts the timer of the next check. The timers of all attempts are aligned,
+// since most attempts end before their first check.
+func (w *attemptWatch) schedule() {
+	w.timer.Reset(repeater.Align(w.dispatcher.checkInterval, w.dispatcher.checkInterval/2))
+}
+
 // run makes one check. It schedules the next one or cancels the attempt.
 func (w *attemptWatch) run() {
 	if w.skipCheck() {
-		w.timer.Reset(w.dispatcher.checkInterval)
+		w.schedule()
 		return
 	}
 	progress := w.dispatcher.checkAttempt(w.ctx, w.attempt)
@@ -62,7 +69,7 @@
 		return
 	}
 	if w.keepWaiting(progress) {
-		w.timer.Reset(w.dispatcher.checkInterval)
+		w.schedule()
 		return
 	}
 	select {
--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -112,7 +112,9 @@
 }
 
 // Run updates the limits periodically until the context ends.
-func (r *Shedder) Run(ctx context.Context) { repeater.Run(ctx, decisionInterval, r.updateLimits) }
+func (r *Shedder) Run(ctx context.Context) {
+	repeater.RunAligned(ctx, decisionInterval, r.updateLimits)
+}
 
 // StoreInflows stores the inflows sent by another node, in place of its earlier
 // ones.
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -33,6 +33,7 @@
 	"quetzalhub/guard"
 	"quetzalhub/refuser"
 	"quetzalhub/schema"
+	"quetzalhub/util/repeater"
 )
 
 const (
@@ -49,6 +50,9 @@
 	// due. It is short because a starting node gets the configuration within tens
 	// of milliseconds.
 	probePollInterval = 50 * time.Millisecond
+	// silencePollInterval is the interval for checking whether a confirmed upstream is
+	// silent.
+	silencePollInterval = 200 * time.Millisecond
 	// probeTimeout bounds a health check, including its wait for a slot.
 	probeTimeout = time.Second
 	// silentIntervals is the number of report intervals without a report after
@@ -170,11 +174,13 @@
 	// responses counts the responses since rateLoggedAt.
 	responses    int
 	rateLoggedAt time.Time
+	// lost receives a value when confirmed becomes false outside of Run.
+	lost chan struct{}
 }
 
 // New returns a Supervisor without an upstream instance.
 func New(o Options) *Supervisor {
-	return &Supervisor{options: o}
+	return &Supervisor{options: o, lost: make(chan struct{}, 1)}
 }
 
 // Report applies a report of the upstream.
@@ -398,6 +404,10 @@
 	}
 	s.mu.Unlock()
 	if lost {
+		select {
+		case s.lost <- struct{}{}:
+		default:
+		}
 		s.options.OnChange()
 	}
 }
@@ -446,21 +456,33 @@
 
 // Run confirms the upstream by health checks when needed, until the context ends.
 func (s *Supervisor) Run(ctx context.Context) {
-	ticker := time.NewTicker(probePollInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-s.lost:
+		}
 		if s.needsProbe() {
 			s.probe(ctx)
 		}
 		s.logRate(time.Now())
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
+		if s.isConfirmed() {
+			timer.Reset(repeater.Align(0, silencePollInterval))
+		} else {
+			timer.Reset(probePollInterval)
 		}
 	}
 }
 
+func (s *Supervisor) isConfirmed() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.confirmed
+}
+
 // needsProbe reports whether a health check is due. An upstream that has sent no
 // report for too long loses its confirmation here.
 func (s *Supervisor) needsProbe() bool {
