Refuse requests whose calls have hardly a chance to be accepted

Cause: a request with four calls to that service is served with a chance of 0.04, one with eight calls with 0.002, but every request ran until one of its calls was rejected. Retries cannot help: worked out, the retry budget of the service covers less than one in a hundred requests.

Change: nodes tell which share of the requests their upstream rejects without running them. The entry works out the chance that all calls of a request are accepted; below 0.1 it admits chance/0.1 of the requests, 0.05 at least, and tells the others to come back in a sixth to a third of the time that they have left.

--- a/attacher/retry_adviser.go
+++ b/attacher/retry_adviser.go
@@ -29,5 +29,10 @@
 	if code.Info().Outcome != schema.Outcome_OUTCOME_NOT_RUN || remaining <= 0 {
 		return 0
 	}
+	if code == refuser.CallsRejected {
+		// Rejections last longer than an overload, and a caller comes back only once.
+		longest := remaining / remainingDivisor
+		return longest/2 + rand.N(longest/2+1)
+	}
 	return min(minRetryAfter+rand.N(retryAfterJitter), remaining/remainingDivisor)
 }
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -87,6 +87,8 @@
 	Succeeded Observation = iota
 	Failed
 	Unreachable
+	// Rejected means that the upstream answered that it did not run the request.
+	Rejected
 	// Reassigned means that the address now belongs to another upstream.
 	Reassigned
 )
@@ -244,6 +246,8 @@
 	switch {
 	case code == refuser.UpstreamReplaced:
 		r.observe(rc, Reassigned)
+	case code == refuser.UpstreamShed:
+		r.observe(rc, Rejected)
 	case code != refuser.None || resp.StatusCode >= http.StatusInternalServerError:
 		r.observe(rc, Failed)
 	default:
--- a/refuser/code.go
+++ b/refuser/code.go
@@ -25,6 +25,7 @@
 	StateMissing  Code = 1010
 	KeyReused     Code = 1011
 	ResendPending Code = 1012
+	CallsRejected Code = 1013
 )
 
 // Codes of refusals between nodes.
@@ -87,6 +88,7 @@
 	StateMissing:  {"state_missing", "The node has no configuration yet.", http.StatusServiceUnavailable, notRun},
 	KeyReused:     {"idempotency_key_reused", "The idempotency key was used with another request.", http.StatusUnprocessableEntity, notRun},
 	ResendPending: {"resend_pending", "The first request with this idempotency key is still running.", http.StatusConflict, unknown},
+	CallsRejected: {"calls_rejected", "An upstream that the request needs rejects most calls; the request was refused before it began.", http.StatusServiceUnavailable, notRun},
 
 	EndpointMissing:    {"endpoint_missing", "No upstream of the service is announced.", http.StatusServiceUnavailable, notRun},
 	ShedAtGuard:        {"shed_at_guard", "The upstream is overloaded; the request did not begin.", http.StatusServiceUnavailable, notRun},
--- a/shedder/service.go
+++ b/shedder/service.go
@@ -53,6 +53,8 @@
 	budget float64
 	// load is the ratio of the offered work to the budget.
 	load float64
+	// acceptance is the share of the calls that the upstreams do not reject.
+	acceptance float64
 }
 
 // overloadedServices returns the services to which more work is offered than they
@@ -83,7 +85,7 @@
 // updateLoad computes the budget of a service and the work offered to it.
 func (s *service) updateLoad(members []*schema.Member, demands []*demand) {
 	rate, utilization := capacity(members)
-	s.utilization = utilization
+	s.utilization, s.acceptance = utilization, acceptance(members)
 	if s.load > 1 {
 		step := correctionStep
 		if utilization < idleUtilization {
--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -14,6 +14,9 @@
 //
 // The measured utilization of a service corrects errors of the estimate.
 //
+// If upstreams of a service reject calls without being full, a request with many calls to
+// it hardly has a chance to be served. Most requests of such a route are then refused.
+//
 // # Usage
 //
 //	r := shedder.New(fleet, costs)
@@ -100,6 +103,21 @@
 	service     string
 	utilization float64
 	load        float64
+	// chance is set instead if the calls of a request are probably rejected: it is the
+	// chance that all are accepted.
+	chance float64
+}
+
+// refusal returns the refusal of a request.
+func (l limit) refusal() error {
+	if l.chance > 0 {
+		note := fmt.Sprintf("Service %s rejects calls without being full; a request has a chance of %.3f that all its calls are accepted, and %.2f of the requests of this route and class are admitted.",
+			l.service, l.chance, l.admitRatio)
+		return &refuser.Error{Code: refuser.CallsRejected, Detail: refuser.Detail{Note: note}}
+	}
+	note := fmt.Sprintf("Service %s is offered %.2f times its capacity (slot utilization %.2f); %.2f of the requests of this route and class are admitted.",
+		l.service, l.load, l.utilization, l.admitRatio)
+	return &refuser.Error{Code: refuser.ShedAtEntry, Detail: refuser.Detail{Note: note}}
 }
 
 // New returns a shedder that admits all requests until it knows their rates and
@@ -148,7 +166,8 @@
 func routeHash(route string) uint32 { return uint32(xxhash.Sum64String(route) >> 32) }
 
 // Admit returns a *refuser.Error with code ShedAtEntry if a service that the call
-// reaches has no capacity for it.
+// reaches has no capacity for it, and with code CallsRejected if one of its calls will
+// probably be rejected.
 func (r *Shedder) Admit(c *forwarder.Call, class schema.Class, rank uint32) error {
 	now := time.Now()
 	k := routeClass{routeHash(c.Route.Name), class}
@@ -163,9 +182,7 @@
 	f.offered += ratePerRequest
 	l, limited := r.limits[k]
 	if limited && !isOtherSplitService(c, l.service) && 1-(float64(rank)+0.5)/guard.RanksPerClass > l.admitRatio {
-		note := fmt.Sprintf("Service %s is offered %.2f times its capacity (slot utilization %.2f); %.2f of the requests of this route and class are admitted.",
-			l.service, l.load, l.utilization, l.admitRatio)
-		return &refuser.Error{Code: refuser.ShedAtEntry, Detail: refuser.Detail{Note: note}}
+		return l.refusal()
 	}
 	f.admitted += ratePerRequest
 	return nil
@@ -195,11 +212,13 @@
 	}
 	demands := r.demands(now)
 	r.limits = map[routeClass]limit{}
-	for _, s := range r.overloadedServices(view, demands) {
+	overloaded := r.overloadedServices(view, demands)
+	r.limitByChance(demands)
+	for _, s := range overloaded {
 		s.allocate(demands)
 		for _, d := range demands {
 			if d.admitRatio < 1 && d.service == s.name {
-				r.limits[d.routeClass] = limit{d.admitRatio, s.name, s.utilization, s.load}
+				r.limits[d.routeClass] = limit{admitRatio: d.admitRatio, service: s.name, utilization: s.utilization, load: s.load}
 			}
 		}
 	}
--- a/shedder/shedder_test.go
+++ b/shedder/shedder_test.go
@@ -65,7 +65,7 @@
 
 // admittedShares sends streams to a number of nodes for a duration and returns the
 // admitted share of each in the second half of it.
-func admittedShares(f staticFleet, k staticCosts, nodes int, streams []stream, d time.Duration) []float64 {
+func admittedShares(f staticFleet, k shedder.CostSource, nodes int, streams []stream, d time.Duration) []float64 {
 	rng := rand.New(rand.NewPCG(5, 6))
 	var fleet []*shedder.Shedder
 	for range nodes {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -166,6 +166,7 @@
 	failureRatio float64
 	// lastOutcome is the time of the last update of failureRatio.
 	lastOutcome time.Time
+	rejections  rejections
 	guard       *guard.Guard
 	// rateLimit is the number of requests per second that the current instance
 	// accepts, or zero if it states no limit. It is as of rateLimitAt.
@@ -234,6 +235,7 @@
 	s.confirmed = s.confirmed && sameInstance || s.trustReports
 	s.draining = s.draining && sameInstance
 	s.current, s.lastSequence, s.lastSeen, s.failureRatio = next, 0, now, 0
+	s.rejections = rejections{}
 	if s.draining {
 		s.options.Memory.RecordDeparture(next.id, next.born)
 	}
@@ -370,6 +372,7 @@
 		e.Phase = schema.Phase_PHASE_DRAINING
 	}
 	e.Failing = float32(s.failureRatio * math.Exp2(-float64(time.Since(s.lastOutcome))/float64(failureHalfLife)))
+	e.Rejecting = float32(s.rejections.share(time.Now()))
 	if cold := time.Until(s.coldUntil); cold > 0 {
 		e.Cold = durationpb.New(cold)
 	}
@@ -392,6 +395,7 @@
 	s.mu.Lock()
 	failed := o != forwarder.Succeeded
 	s.lastOutcome = time.Now()
+	s.rejections.add(o == forwarder.Rejected, s.lastOutcome)
 	s.failureRatio *= 1 - failureWeight
 	if failed {
 		s.failureRatio += failureWeight
