Hold requests that crash the upstreams which run them

Cause: the node beside an upstream took each connection that ended with it for a connection lost by itself, and forgot which requests had run there. Retries and later arrivals took the next upstream.

Change: package quarantiner. Requests that ran in an upstream when it crashed are isolated: alike ones go to one upstream that runs one of them at a time. Records travel in beacons, with requests and answers, and held ones are kept on the platform.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -51,6 +51,13 @@
 	Restored() <-chan uint64
 }
 
+// Archive keeps the records of held requests beyond a restart of all nodes.
+type Archive interface {
+	Save(ctx context.Context, name string, record []byte) error
+	Load(ctx context.Context) (map[string][]byte, error)
+	Remove(ctx context.Context, name string) error
+}
+
 // EventLogger logs events, such as reports that can't be read.
 type EventLogger interface {
 	Notice(event string, fields ...any)
@@ -65,6 +72,7 @@
 type Platform struct {
 	Source    Source
 	Directory Directory
+	Archive   Archive
 	Dialect   forwarder.Dialect
 	// IsResponseTo reports whether a response of the upstream matches a request.
 	IsResponseTo func(*http.Request, *http.Response) bool
--- a/attacher/config_watcher_test.go
+++ b/attacher/config_watcher_test.go
@@ -111,13 +111,14 @@
 // without content.
 type noopBeacons struct{}
 
-func (noopBeacons) Send(string, []byte)           {}
-func (noopBeacons) Endpoints() []*schema.Endpoint { return nil }
-func (noopBeacons) Remarks() []*schema.Remark     { return nil }
-func (noopBeacons) Inflows() []*schema.Inflow     { return nil }
-func (noopBeacons) Usages() []*schema.Usage       { return nil }
-func (noopBeacons) Profiles() []*schema.Profile   { return nil }
-func (noopBeacons) Version() uint64               { return 0 }
+func (noopBeacons) Send(string, []byte)             {}
+func (noopBeacons) Endpoints() []*schema.Endpoint   { return nil }
+func (noopBeacons) Suspicions() []*schema.Suspicion { return nil }
+func (noopBeacons) Remarks() []*schema.Remark       { return nil }
+func (noopBeacons) Inflows() []*schema.Inflow       { return nil }
+func (noopBeacons) Usages() []*schema.Usage         { return nil }
+func (noopBeacons) Profiles() []*schema.Profile     { return nil }
+func (noopBeacons) Version() uint64                 { return 0 }
 
 // TestConfigWatcher guards against a node that stays on an old configuration, or
 // reads the platform too often, after an outage or a loss of the platform's history.
--- a/attacher/module.go
+++ b/attacher/module.go
@@ -17,6 +17,7 @@
 	"quetzalhub/fencer"
 	"quetzalhub/forwarder"
 	"quetzalhub/gossiper/udp"
+	"quetzalhub/quarantiner"
 	"quetzalhub/recorder"
 	"quetzalhub/refuser"
 	"quetzalhub/reporter"
@@ -38,6 +39,7 @@
 		recorder.New,
 		fencer.New,
 		witness.New,
+		quarantiner.New,
 		newConfirmer,
 		newCaller,
 		newSupervisor,
@@ -173,8 +175,12 @@
 	estimator  *estimator.Estimator
 	shedder    *shedder.Shedder
 	witness    *witness.Witness
+	// quarantiner provides the suspicions.
+	quarantiner *quarantiner.Quarantiner
 }
 
+func (s *beaconSource) Suspicions() []*schema.Suspicion { return s.quarantiner.Suspicions() }
+
 func (s *beaconSource) Remarks() []*schema.Remark   { return s.witness.Remarks() }
 func (s *beaconSource) Inflows() []*schema.Inflow   { return s.shedder.Inflows() }
 func (s *beaconSource) Profiles() []*schema.Profile { return s.estimator.Profiles() }
@@ -187,7 +193,7 @@
 // beaconer is set before these parts run.
 type lateDirectory struct{ *beaconer.Beaconer }
 
-func newFleet(s *schema.Settings, p *Platform, t *udp.Transport, st *supervisor.Supervisor, notifier *upstreamNotifier, c *confirmer.Confirmer, w *witness.Witness, r *reporter.Reporter, cl *caller.Caller) *fleet {
+func newFleet(s *schema.Settings, p *Platform, t *udp.Transport, st *supervisor.Supervisor, notifier *upstreamNotifier, c *confirmer.Confirmer, w *witness.Witness, q *quarantiner.Quarantiner, r *reporter.Reporter, cl *caller.Caller) *fleet {
 	node := s.GetNode()
 	self := &schema.Member{
 		Name: node.GetName(), Address: node.GetPeers(), Admin: node.GetAdmin(), Beacon: node.GetBeacon(),
@@ -200,8 +206,8 @@
 	f.allocator = allocator.New(directory, c, cl, quotaAllowance(s))
 	f.estimator = estimator.New(s.GetUpstream().GetService())
 	f.shedder = shedder.New(directory, f.estimator)
-	f.beaconer = beaconer.New(self, t, &beaconSource{st, c, f.allocator, f.estimator, f.shedder, w}, beaconInterval, f.configWatcher,
-		&beaconListener{f.balancer, f.estimator, f.shedder, w, st, r})
+	f.beaconer = beaconer.New(self, t, &beaconSource{st, c, f.allocator, f.estimator, f.shedder, w, q}, beaconInterval, f.configWatcher,
+		&beaconListener{f.balancer, f.estimator, f.shedder, w, q, st, r})
 	directory.Beaconer = f.beaconer
 	notifier.beaconer = f.beaconer
 	cl.Attach(&beaconFleet{f.beaconer})
@@ -227,6 +233,8 @@
 	estimator *estimator.Estimator
 	shedder   *shedder.Shedder
 	witness   *witness.Witness
+	// quarantiner stores the suspicions.
+	quarantiner *quarantiner.Quarantiner
 	// supervisor applies the remarks about the upstream beside this node.
 	supervisor *supervisor.Supervisor
 	reporter   *reporter.Reporter
@@ -239,6 +247,7 @@
 	for _, e := range from.GetEndpoints() {
 		l.balancer.RecordLoad(from, e)
 	}
+	l.quarantiner.Store(b.GetSuspicions())
 	if len(b.GetRemarks()) > 0 {
 		l.witness.Store(b.GetRemarks())
 		l.supervisor.Refresh()
@@ -318,7 +327,7 @@
 	refuser *refuser.Refuser
 }
 
-func newTraffic(s *schema.Settings, p *Platform, f *fleet, c *confirmer.Confirmer, cl *caller.Caller, st *supervisor.Supervisor, fence *fencer.Fencer, rec *recorder.Recorder, rep *reporter.Reporter) *traffic {
+func newTraffic(s *schema.Settings, p *Platform, f *fleet, c *confirmer.Confirmer, cl *caller.Caller, st *supervisor.Supervisor, fence *fencer.Fencer, q *quarantiner.Quarantiner, rec *recorder.Recorder, rep *reporter.Reporter) *traffic {
 	settings := s.GetTraffic()
 	maxBodyBytes := int64(settings.GetBody())
 	callerRefuser := refuser.New(rec.Refusals, refuser.WithStatus(p.RefusalStatus), refuser.WithFractionalRetryAfter())
@@ -334,6 +343,7 @@
 		RetryCounts:    rec.Retries,
 		MaxFreeRetries: maxFreeRetries,
 		Failover:       true,
+		Quarantine:     q,
 		Reporter:       rep,
 	})
 	upstreams := &closingUpstreams{Upstreams: st}
@@ -372,6 +382,8 @@
 			DeadlineGrace:    deadlineGrace,
 			Observer:         &upstreamObserver{st, f.estimator, rec},
 			ObserveQueueTime: rec.Queue.Observe,
+			Quarantine:       q,
+			OnCrash:          f.beaconer.Announce,
 			Reporter:         rep,
 		}),
 		responder: responder.New(responder.Dependencies{
--- a/attacher/node.go
+++ b/attacher/node.go
@@ -18,6 +18,7 @@
 	"quetzalhub/confirmer"
 	"quetzalhub/forwarder"
 	"quetzalhub/gossiper/udp"
+	"quetzalhub/quarantiner"
 	"quetzalhub/recorder"
 	"quetzalhub/refuser"
 	"quetzalhub/reporter"
@@ -62,17 +63,18 @@
 type nodeParts struct {
 	fx.In
 
-	Settings   *schema.Settings
-	Path       SettingsPath
-	Platform   *Platform
-	Reporter   *reporter.Reporter
-	Recorder   *recorder.Recorder
-	Confirmer  *confirmer.Confirmer
-	Transport  *udp.Transport
-	Supervisor *supervisor.Supervisor
-	Caller     *caller.Caller
-	Fleet      *fleet
-	Traffic    *traffic
+	Settings    *schema.Settings
+	Path        SettingsPath
+	Platform    *Platform
+	Reporter    *reporter.Reporter
+	Recorder    *recorder.Recorder
+	Confirmer   *confirmer.Confirmer
+	Transport   *udp.Transport
+	Supervisor  *supervisor.Supervisor
+	Caller      *caller.Caller
+	Quarantiner *quarantiner.Quarantiner
+	Fleet       *fleet
+	Traffic     *traffic
 }
 
 func newNode(p nodeParts) *Node {
@@ -81,6 +83,7 @@
 	p.Recorder.Publish("members_live", func() any { return p.Fleet.beaconer.View().LiveCount() })
 	p.Recorder.Publish("upstream", func() any { return p.Supervisor.Endpoints() })
 	p.Recorder.Publish("shares", func() any { return p.Fleet.shedder.Shares() })
+	p.Recorder.Publish("requests_held", func() any { return len(p.Quarantiner.HeldSuspicions()) })
 	p.Recorder.Publish("log_lines_dropped", func() any { return p.Reporter.Dropped() })
 	p.Recorder.Publish("caller_connections", func() any { return n.connections.count() })
 	return n
@@ -95,11 +98,12 @@
 		return errors.Trace(err)
 	}
 	p, node := n.parts, n.parts.Settings.GetNode()
-	entryRegistrar := &registrar{p.Platform.Directory, p.Fleet.beaconer, p.Reporter, Entry{node.GetName(), node.GetBeacon()}}
+	holds := &archivist{p.Platform.Archive, p.Quarantiner, p.Fleet.beaconer.View, node.GetName(), p.Reporter, make(chan struct{}, 1)}
+	entryRegistrar := &registrar{p.Platform.Directory, p.Fleet.beaconer, p.Reporter, Entry{node.GetName(), node.GetBeacon()}, holds.platformRestored}
 	settingsReloader := &reloader{p.Settings, p.Path, p.Reporter}
 	loops := []func(context.Context){
 		settingsReloader.run, n.connections.run,
-		p.Reporter.Run, p.Fleet.beaconer.Run, p.Fleet.balancer.Run, p.Fleet.shedder.Run, p.Fleet.configWatcher.run, p.Caller.Run, p.Supervisor.Run, entryRegistrar.run,
+		p.Reporter.Run, p.Fleet.beaconer.Run, p.Fleet.balancer.Run, p.Fleet.shedder.Run, p.Fleet.configWatcher.run, p.Caller.Run, p.Supervisor.Run, entryRegistrar.run, holds.run,
 	}
 	for _, loop := range loops {
 		n.group.Go(func() { loop(ctx) })
--- a/attacher/registrar.go
+++ b/attacher/registrar.go
@@ -24,6 +24,8 @@
 	beaconer  *beaconer.Beaconer
 	reporter  *reporter.Reporter
 	self      Entry
+	// onRestored is called after the platform has come back from a copy.
+	onRestored func()
 }
 
 // run keeps this node registered until the context ends. An entry lasts until the
@@ -38,6 +40,7 @@
 			r.reporter.Notice("platform_restored", "era", era)
 			sleep(ctx, r.enlistDelay())
 			r.enlist(ctx)
+			r.onRestored()
 		}
 	}
 }
--- a/attacher/registrar_test.go
+++ b/attacher/registrar_test.go
@@ -114,7 +114,7 @@
 				transport := &recordingTransport{received: map[string]bool{}}
 				b := beaconer.New(&schema.Member{Name: "node-1", Beacon: "10.0.0.1:7000"}, transport, noopBeacons{}, time.Second)
 				self := Entry{"node-1", "10.0.0.1:7000"}
-				r := &registrar{d, b, reporter.New(io.Discard, "node-1", log.InfoLevel), self}
+				r := &registrar{d, b, reporter.New(io.Discard, "node-1", log.InfoLevel), self, func() {}}
 				ctx, cancel := context.WithCancel(context.Background())
 				var group sync.WaitGroup
 				group.Go(func() { r.run(ctx) })
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -22,10 +22,13 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"quetzalhub/gossiper"
 	"quetzalhub/schema"
 	"quetzalhub/util/repeater"
@@ -170,6 +173,27 @@
 	return best, true
 }
 
+// PickHashed selects a node for a key by rendezvous hashing: all nodes of the fleet select
+// the same one, and another one only while that is not available.
+func (b *Balancer) PickHashed(service string, key uint64, tried set.Set[string]) (*Target, bool) {
+	var best *schema.Member
+	highest := uint64(0)
+	for _, m := range b.directory.View().Service(service) {
+		if tried.Has(m.GetName()) || b.isAvoided(m) || b.hasDeparted(service, m) {
+			continue
+		}
+		if hash := xxhash.Sum64String(strconv.FormatUint(key, 36) + m.GetName()); best == nil || hash > highest {
+			best, highest = m, hash
+		}
+	}
+	if best == nil {
+		return nil, false
+	}
+	t := b.target(best)
+	t.stats.active.Add(1)
+	return t, true
+}
+
 // PickIndex selects the node at an index, modulo their number, in the list of
 // nodes of a service.
 func (b *Balancer) PickIndex(service string, index uint64) (*Target, bool) {
--- a/beaconer/beaconer.go
+++ b/beaconer/beaconer.go
@@ -64,6 +64,9 @@
 	// Remarks returns what this node knows of upstreams that have left or state a
 	// rate limit.
 	Remarks() []*schema.Remark
+	// Suspicions returns what this node knows of requests that ran in upstreams when
+	// they crashed.
+	Suspicions() []*schema.Suspicion
 }
 
 // Listener is notified of beacons and of nodes that become silent.
--- a/beaconer/beaconer_test.go
+++ b/beaconer/beaconer_test.go
@@ -87,10 +87,11 @@
 	return nil
 }
 
-func (n *node) Inflows() []*schema.Inflow   { return nil }
-func (n *node) Usages() []*schema.Usage     { return n.net.usages }
-func (n *node) Profiles() []*schema.Profile { return nil }
-func (n *node) Version() uint64             { return 1 }
+func (n *node) Suspicions() []*schema.Suspicion { return nil }
+func (n *node) Inflows() []*schema.Inflow       { return nil }
+func (n *node) Usages() []*schema.Usage         { return n.net.usages }
+func (n *node) Profiles() []*schema.Profile     { return nil }
+func (n *node) Version() uint64                 { return 1 }
 
 func newNetwork() *network {
 	return &network{
--- a/beaconer/encode.go
+++ b/beaconer/encode.go
@@ -17,7 +17,7 @@
 
 // beaconOptions selects the content of a beacon.
 type beaconOptions struct {
-	// withRemarks adds the remarks, which others receive with one in neighborsEvery
+	// withRemarks adds the remarks and suspicions, which others receive with one in neighborsEvery
 	// beacons. A node that has just started needs them at once.
 	withRemarks bool
 	// relay asks the receiver to pass on the beacon.
@@ -62,7 +62,7 @@
 		beacon.Inflows = b.source.Inflows()
 	}
 	if o.withRemarks || b.number%neighborsEvery == 0 {
-		beacon.Remarks = b.source.Remarks()
+		beacon.Remarks, beacon.Suspicions = b.source.Remarks(), b.source.Suspicions()
 	}
 	if b.number%neighborsEvery == 0 {
 		beacon.Neighbors = b.someNeighbors()
--- a/forwarder/dispatcher.go
+++ b/forwarder/dispatcher.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"quetzalhub/balancer"
+	"quetzalhub/quarantiner"
 	"quetzalhub/refuser"
 	"quetzalhub/schema"
 	"quetzalhub/transporter"
@@ -62,6 +63,7 @@
 	retriesPerCall uint32
 	maxFreeRetries int
 	failover       bool
+	quarantine     Quarantine
 	reporter       Reporter
 }
 
@@ -87,7 +89,10 @@
 	// Failover retries an idempotent call at another upstream if the response
 	// is a server error.
 	Failover bool
-	Reporter Reporter
+	// Quarantine isolates and holds requests that seem to crash upstreams. The default
+	// is an own one.
+	Quarantine Quarantine
+	Reporter   Reporter
 }
 
 // NewDispatcher returns a Dispatcher and creates the retry counters of all
@@ -96,7 +101,11 @@
 	for _, reason := range []string{reasonNotRun, reasonIdempotent, reasonBudget, reasonThrottle, reasonNotIdempotent} {
 		o.RetryCounts.Add(reason, 0)
 	}
+	if o.Quarantine == nil {
+		o.Quarantine = quarantiner.New()
+	}
 	return &Dispatcher{
+		quarantine:     o.Quarantine,
 		identity:       o.Identity,
 		picker:         o.Picker,
 		retryThrottler: o.RetryThrottler,
@@ -121,8 +130,9 @@
 	tried := set.Of[string]()
 	var outcome callOutcome
 	for freeRetries := 0; ; {
-		target, ok := d.picker.Pick(call.Service, tried)
-		if !ok {
+		target, err := d.pick(call, tried)
+		if err != nil {
+			outcome.addRefusal(err)
 			return outcome.result()
 		}
 		tried.Add(target.Member.GetName())
@@ -293,6 +303,10 @@
 		Retries:     a.delegatedRetries,
 		Depth:       parent.Depth + 1,
 	}
+	if !d.quarantine.Empty() {
+		// The receiver may not have heard of the crash of a moment ago.
+		envelope.Suspicion = d.quarantine.Suspicion(call.fingerprint())
+	}
 	if call.Route.TargetLatency > 0 {
 		envelope.Objective = durationpb.New(call.Route.TargetLatency)
 	}
@@ -323,6 +337,7 @@
 		return nil, true, &refuser.Error{Code: refuser.ReceiverUnclear}
 	}
 	a.target.RecordLoad(report.GetEndpoint())
+	d.recordReport(a.call, report)
 	parent := a.call.Parent
 	parent.Budget.Restore(min(report.GetUnused(), a.delegatedRetries))
 	parent.Pressure.Raise(report.GetLevel())
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -58,6 +58,8 @@
 // Picker selects the node for a call, leaving out the nodes already tried.
 type Picker interface {
 	Pick(service string, tried set.Set[string]) (*balancer.Target, bool)
+	// PickHashed selects the same node for the same key as long as it is available.
+	PickHashed(service string, key uint64, tried set.Set[string]) (*balancer.Target, bool)
 }
 
 // ConcurrencyLimiter limits the concurrent calls to the local upstream.
--- /dev/null
+++ b/forwarder/isolation.go
@@ -0,0 +1,277 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"quetzalhub/balancer"
+	"quetzalhub/quarantiner"
+	"quetzalhub/refuser"
+	"quetzalhub/schema"
+	"quetzalhub/util/set"
+)
+
+const (
+	// crashDialTimeout bounds the connection by which a crash is told from the loss of
+	// one connection. Its address is on this host.
+	crashDialTimeout = 100 * time.Millisecond
+	// crashReadTimeout is the time for which that connection must stay open, and
+	// maxCrashDials the number of such connections.
+	crashReadTimeout = 10 * time.Millisecond
+	maxCrashDials    = 3
+	// crashCheckInterval is the time for which the result of such a check holds.
+	crashCheckInterval = 200 * time.Millisecond
+	// defaultIsolationWait is the longest wait of an isolated request for its turn if
+	// its latency objective is not known.
+	defaultIsolationWait = 500 * time.Millisecond
+)
+
+// Quarantine remembers the requests that ran in upstreams when they crashed.
+type Quarantine interface {
+	// Empty reports whether nothing is known against any request.
+	Empty() bool
+	Treatment(f quarantiner.Fingerprint) (quarantiner.Treatment, time.Duration)
+	Crashes(f quarantiner.Fingerprint) int
+	RecordCrash(id string, born int64, runs []quarantiner.Run)
+	RecordEnd(f quarantiner.Fingerprint)
+	Suspicion(f quarantiner.Fingerprint) *schema.Suspicion
+	Store(suspicions []*schema.Suspicion)
+}
+
+// newQuarantineRequest returns the properties of a request by which alike ones are found.
+// Nested calls belong to the service that makes them: of several alike requests, the
+// one that made a call is not known for certain.
+func newQuarantineRequest(nested bool, workspace, origin, method, host string, from *url.URL, body []byte) quarantiner.Request {
+	caller := "workspace " + workspace
+	if nested {
+		caller = "service " + origin
+	}
+	return quarantiner.Request{Caller: caller, Method: method, Host: host, Target: from.RequestURI(), Body: body}
+}
+
+// heldError returns the refusal of a held request.
+func heldError(q Quarantine, f quarantiner.Fingerprint, left time.Duration) error {
+	note := fmt.Sprintf("Upstreams crashed %d times while they ran this request; it is not run for another %v.", q.Crashes(f), left.Round(time.Millisecond))
+	if left > maxHeldWait {
+		return &refuser.Error{Code: refuser.RequestQuarantined, Detail: refuser.Detail{Note: note}}
+	}
+	return &refuser.Error{Code: refuser.RequestHeld, Detail: refuser.Detail{Note: note, RetryAfter: left}}
+}
+
+// maxHeldWait is the longest hold after which callers are told to come back.
+const maxHeldWait = 10 * time.Second
+
+// pick selects the node for the next attempt of a call. Isolated calls that are alike go to
+// the same node. It returns a refusal if the call is held or no node is left.
+func (d *Dispatcher) pick(call *Call, tried set.Set[string]) (*balancer.Target, error) {
+	missing := &refuser.Error{Code: refuser.EndpointMissing}
+	if d.quarantine.Empty() {
+		target, ok := d.picker.Pick(call.Service, tried)
+		if !ok {
+			return nil, missing
+		}
+		return target, nil
+	}
+	f := call.fingerprint()
+	treatment, left := d.quarantine.Treatment(f)
+	if treatment == quarantiner.Held {
+		return nil, heldError(d.quarantine, f, left)
+	}
+	pick := d.picker.Pick
+	if treatment == quarantiner.Isolated {
+		pick = func(service string, tried set.Set[string]) (*balancer.Target, bool) {
+			return d.picker.PickHashed(service, uint64(f), tried)
+		}
+	}
+	target, ok := pick(call.Service, tried)
+	if !ok {
+		return nil, missing
+	}
+	return target, nil
+}
+
+// fingerprint returns the fingerprint of a call.
+func (c *Call) fingerprint() quarantiner.Fingerprint {
+	return newQuarantineRequest(c.Nested, c.Parent.Workspace, c.Origin, c.Method, c.Host, c.URL, c.Body).Fingerprint()
+}
+
+// recordReport records what the node beside the upstream reports of a call.
+func (d *Dispatcher) recordReport(call *Call, report *schema.Report) {
+	if s := report.GetSuspicion(); s != nil {
+		d.quarantine.Store([]*schema.Suspicion{s})
+	}
+	if report.GetCleared() {
+		d.quarantine.RecordEnd(call.fingerprint())
+	}
+}
+
+// isolator runs isolated requests one at a time, and finds out when the upstream crashes
+// and which requests ran there.
+type isolator struct {
+	quarantine Quarantine
+	onCrash    func()
+	reporter   Reporter
+	// turn holds a value while an isolated request runs.
+	turn chan struct{}
+
+	mu   sync.Mutex
+	runs map[*relayCall]quarantiner.Run
+	// check is the last check of whether the upstream has crashed.
+	check *crashCheck
+}
+
+// crashCheck is a check of whether an instance of the upstream has crashed.
+type crashCheck struct {
+	upstream Upstream
+	at       time.Time
+	done     chan struct{}
+	crashed  bool
+}
+
+func newIsolator(q Quarantine, onCrash func(), r Reporter) *isolator {
+	return &isolator{quarantine: q, onCrash: onCrash, reporter: r, turn: make(chan struct{}, 1), runs: map[*relayCall]quarantiner.Run{}}
+}
+
+// enter waits for the turn of a call if it is isolated. It returns a refusal if the call is
+// held, or if its turn does not come in time. leave must be called if it returns none.
+func (i *isolator) enter(ctx context.Context, rc *relayCall, from *http.Request, body []byte) error {
+	if s := rc.envelope.GetSuspicion(); s != nil {
+		i.quarantine.Store([]*schema.Suspicion{s})
+	}
+	if i.quarantine.Empty() {
+		return nil
+	}
+	f := rc.quarantineRequest(from, body).Fingerprint()
+	treatment, left := i.quarantine.Treatment(f)
+	if treatment == quarantiner.Isolated {
+		wait := defaultIsolationWait
+		if objective := rc.envelope.GetObjective().AsDuration(); objective > 0 {
+			wait = objective / 2
+		}
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case i.turn <- struct{}{}:
+		case <-timer.C:
+			return &refuser.Error{Code: refuser.ShedAtGuard}
+		case <-ctx.Done():
+			return &refuser.Error{Code: refuser.DeadlineBeforeRun}
+		}
+		// The request before this one may have been alike, and crashed the upstream
+		// or cleared the suspicion.
+		treatment, left = i.quarantine.Treatment(f)
+		if rc.isolated = treatment == quarantiner.Isolated; !rc.isolated {
+			<-i.turn
+		}
+	}
+	if treatment == quarantiner.Held {
+		// The sender has not heard of the hold yet, and must not try another node.
+		rc.suspicion = i.quarantine.Suspicion(f)
+		return heldError(i.quarantine, f, left)
+	}
+	return nil
+}
+
+// leave ends the turn of a call.
+func (i *isolator) leave(rc *relayCall) {
+	if rc.isolated {
+		<-i.turn
+	}
+}
+
+// begin records that the upstream is about to run a call, and end that it no longer does.
+func (i *isolator) begin(rc *relayCall, from *http.Request, body []byte) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.runs[rc] = quarantiner.Run{Request: rc.quarantineRequest(from, body), Began: time.Now(), Isolated: rc.isolated}
+}
+
+func (i *isolator) end(rc *relayCall) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	delete(i.runs, rc)
+}
+
+// clear drops the suspicion against an isolated call that the upstream has answered.
+func (i *isolator) clear(rc *relayCall, from *http.Request, body []byte) {
+	if rc.isolated {
+		rc.cleared = true
+		i.quarantine.RecordEnd(rc.quarantineRequest(from, body).Fingerprint())
+	}
+}
+
+// crashed reports whether an upstream has crashed, after the connection of a call to it was
+// lost: then it accepts no new connection. It records the crash once.
+func (i *isolator) crashed(upstream Upstream) bool {
+	i.mu.Lock()
+	c := i.check
+	if c == nil || c.upstream.ID != upstream.ID || c.upstream.Born != upstream.Born || time.Since(c.at) > crashCheckInterval && !c.crashed {
+		c = &crashCheck{upstream: upstream, at: time.Now(), done: make(chan struct{})}
+		i.check = c
+		var runs []quarantiner.Run
+		for _, run := range i.runs {
+			runs = append(runs, run)
+		}
+		i.mu.Unlock()
+		i.runCheck(c, runs)
+		return c.crashed
+	}
+	i.mu.Unlock()
+	<-c.done
+	return c.crashed
+}
+
+func (i *isolator) runCheck(c *crashCheck, runs []quarantiner.Run) {
+	defer close(c.done)
+	if c.crashed = !listens(c.upstream.Address); !c.crashed {
+		return
+	}
+	i.quarantine.RecordCrash(c.upstream.ID, c.upstream.Born, runs)
+	// Other nodes may already know that the upstream is lost, but not why.
+	i.onCrash()
+	isolated := "none"
+	for _, run := range runs {
+		if run.Isolated {
+			f := run.Request.Fingerprint()
+			isolated = fmt.Sprintf("%s %s, %d crashes", run.Request.Method, run.Request.Target, i.quarantine.Crashes(f))
+		}
+	}
+	i.reporter.Event("upstream_crashed", "upstream", c.upstream.ID, "runs", len(runs), "isolated", isolated)
+}
+
+// listens reports whether an upstream accepts connections and keeps them open. The
+// connections of a process that ends may be closed before its listener.
+func listens(address string) bool {
+	for range maxCrashDials {
+		conn, err := net.DialTimeout("tcp", address, crashDialTimeout)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return false
+		}
+		if err != nil {
+			continue
+		}
+		err = conn.SetReadDeadline(time.Now().Add(crashReadTimeout))
+		if err == nil {
+			_, err = conn.Read(make([]byte, 1))
+		}
+		_ = conn.Close()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return true
+		}
+	}
+	return true
+}
+
+// quarantineRequest returns the properties of the call by which alike ones are found.
+func (rc *relayCall) quarantineRequest(from *http.Request, body []byte) quarantiner.Request {
+	e := rc.envelope
+	return newQuarantineRequest(e.GetDepth() > 1, e.GetWorkspace(), e.GetOrigin(), from.Header.Get(headerMethod), e.GetHost(), from.URL, body)
+}
--- a/forwarder/outcome.go
+++ b/forwarder/outcome.go
@@ -32,14 +32,19 @@
 	}
 }
 
+// addRefusal records why there is no further attempt, unless an earlier one has failed.
+func (o *callOutcome) addRefusal(err error) {
+	if o.err == nil {
+		o.err = err
+	}
+}
+
 // result returns the response of an upstream if there is one, else the refusal.
 // The outcome of the refusal is "not run" only if no attempt has run.
 func (o *callOutcome) result() (*Response, error) {
 	switch {
 	case o.response != nil:
 		return o.response, nil
-	case o.err == nil:
-		return nil, &refuser.Error{Code: refuser.EndpointMissing}
 	case o.mayHaveRun && refuser.CodeOf(o.err).Info().Outcome == schema.Outcome_OUTCOME_NOT_RUN:
 		return nil, &refuser.Error{Code: refuser.UpstreamLost, Detail: refuser.Detail{Note: "An earlier attempt may have run."}}
 	default:
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"quetzalhub/guard"
+	"quetzalhub/quarantiner"
 	"quetzalhub/refuser"
 	"quetzalhub/schema"
 	"quetzalhub/tracker"
@@ -60,6 +61,11 @@
 	Lifetime *Lifetime
 	// Reporter records calls that got no response of the upstream.
 	Reporter Reporter
+	// Quarantine remembers the requests that ran in the upstream when it crashed. The
+	// default is an own one.
+	Quarantine Quarantine
+	// OnCrash is called after a crash of the upstream was recorded there. It may be nil.
+	OnCrash func()
 	// ObserveQueueTime receives the time for which each call waited for a slot
 	// of the concurrency limiter. It may be nil.
 	ObserveQueueTime func(time.Duration)
@@ -95,11 +101,20 @@
 
 // Relay handles calls from other nodes and sends them to the upstream.
 type Relay struct {
-	options RelayOptions
+	options  RelayOptions
+	isolator *isolator
 }
 
 // NewRelay returns the handler for calls from other nodes.
-func NewRelay(o RelayOptions) *Relay { return &Relay{options: o} }
+func NewRelay(o RelayOptions) *Relay {
+	if o.Quarantine == nil {
+		o.Quarantine = quarantiner.New()
+	}
+	if o.OnCrash == nil {
+		o.OnCrash = func() {}
+	}
+	return &Relay{options: o, isolator: newIsolator(o.Quarantine, o.OnCrash, o.Reporter)}
+}
 
 // relayCall is the state of a call from another node.
 type relayCall struct {
@@ -109,6 +124,11 @@
 	upstream Upstream
 	// offered is true if the upstream may have seen the call.
 	offered bool
+	// isolated is true while the call runs as the only isolated one, and cleared once
+	// the upstream has answered it.
+	isolated, cleared bool
+	// suspicion is set if the upstream has crashed under the call, or if the call is held.
+	suspicion *schema.Suspicion
 }
 
 // ServeHTTP sends a call to the upstream, or refuses it. The report in the
@@ -177,6 +197,12 @@
 	id, arrived := rc.envelope.GetAttempt(), time.Now()
 	ctx, cancel := context.WithDeadline(req.Context(), rc.request.Deadline.Add(r.options.DeadlineGrace))
 	defer cancel()
+	if err := r.isolator.enter(ctx, rc, req, body); err != nil {
+		r.options.Fencer.MarkNotRun(id)
+		r.refuse(w, rc, refuser.CodeOf(err))
+		return
+	}
+	defer r.isolator.leave(rc)
 	permit, err := rc.upstream.Limiter.Acquire(ctx, guard.Request{
 		Class: rc.request.Class, Rank: rc.request.Rank, Workspace: rc.request.Workspace,
 		Objective: rc.envelope.GetObjective().AsDuration(),
@@ -197,6 +223,7 @@
 		permit.Release()
 	}()
 	resp, code := r.callUpstream(ctx, req, rc, body)
+	defer r.isolator.end(rc)
 	if code != refuser.None {
 		r.close(id, code)
 		r.refuse(w, rc, code)
@@ -204,6 +231,7 @@
 		return
 	}
 	defer r.options.Fencer.End(id)
+	r.isolator.clear(rc, req, body)
 	r.sendResponse(w, rc, resp)
 	r.recordOutcome(rc, time.Since(entered), resp.StatusCode < http.StatusMultipleChoices)
 }
@@ -237,9 +265,10 @@
 		return nil, refuser.DeadlineBeforeRun
 	}
 	rc.offered = true
+	r.isolator.begin(rc, from, body)
 	resp, err := r.options.Transport.RoundTrip(r.upstreamRequest(ctx, from, rc, body))
 	if err != nil {
-		return nil, r.errorCode(from, rc, transporter.Sent(err))
+		return nil, r.errorCode(from, rc, transporter.Sent(err), body)
 	}
 	kind := r.options.Dialect.ClassifyResponse(resp, rc.request.ID)
 	code := responseCode(kind)
@@ -279,7 +308,7 @@
 
 // errorCode returns the refusal code for a call without a response. sent is false
 // if no byte of the call was sent to the upstream.
-func (r *Relay) errorCode(from *http.Request, rc *relayCall, sent bool) refuser.Code {
+func (r *Relay) errorCode(from *http.Request, rc *relayCall, sent bool, body []byte) refuser.Code {
 	expired := timeLeft(rc.request.Deadline) == 0
 	callerGone := from.Context().Err() != nil
 	switch {
@@ -293,6 +322,10 @@
 		return refuser.DeadlinePassed
 	case callerGone:
 		return refuser.CallerGone
+	case r.isolator.crashed(rc.upstream):
+		rc.suspicion = r.options.Quarantine.Suspicion(rc.quarantineRequest(from, body).Fingerprint())
+		r.observe(rc, Unreachable)
+		return refuser.UpstreamCrashed
 	default:
 		r.observe(rc, Failed)
 		return refuser.UpstreamLost
@@ -334,7 +367,7 @@
 		report.Unused = rc.request.Budget.Drain()
 		report.Level = rc.request.Pressure.Level()
 	}
-	report.Offered = rc.offered
+	report.Offered, report.Suspicion, report.Cleared = rc.offered, rc.suspicion, rc.cleared
 	if rc.upstream.Limiter != nil {
 		report.Level = max(report.Level, rc.upstream.Limiter.Level())
 		if d, ok := rc.upstream.Limiter.(Describer); ok {
--- a/naive/naive.go
+++ b/naive/naive.go
@@ -92,6 +92,11 @@
 	return p.balancer.PickIndex(service, p.next.Add(1))
 }
 
+// PickHashed returns the next node of the service, whatever the key.
+func (p *Picker) PickHashed(service string, _ uint64, tried set.Set[string]) (*balancer.Target, bool) {
+	return p.Pick(service, tried)
+}
+
 // ConcurrencyLimiter admits requests in order of arrival, whatever their class
 // and workspace.
 type ConcurrencyLimiter struct {
--- a/refuser/code.go
+++ b/refuser/code.go
@@ -26,6 +26,10 @@
 	KeyReused     Code = 1011
 	ResendPending Code = 1012
 	CallsRejected Code = 1013
+	// RequestHeld and RequestQuarantined refuse a request that seems to crash upstreams,
+	// for a short and for a long time.
+	RequestHeld        Code = 1014
+	RequestQuarantined Code = 1015
 )
 
 // Codes of refusals between nodes.
@@ -50,6 +54,7 @@
 	CallerGone      Code = 3004
 	ResendUnknown   Code = 3005
 	ReceiverUnclear Code = 3006
+	UpstreamCrashed Code = 3007
 )
 
 // Codes of refused nested calls, which upstreams make while they serve a request.
@@ -90,6 +95,9 @@
 	ResendPending: {"resend_pending", "The first request with this idempotency key is still running.", http.StatusConflict, unknown},
 	CallsRejected: {"calls_rejected", "An upstream that the request needs rejects most calls; the request was refused before it began.", http.StatusServiceUnavailable, notRun},
 
+	RequestHeld:        {"request_held", "Upstreams crashed while they ran this request; it is tried again later.", http.StatusServiceUnavailable, notRun},
+	RequestQuarantined: {"request_quarantined", "Upstreams crashed each time that they ran this request; it is not run again.", http.StatusUnprocessableEntity, notRun},
+
 	EndpointMissing:    {"endpoint_missing", "No upstream of the service is announced.", http.StatusServiceUnavailable, notRun},
 	ShedAtGuard:        {"shed_at_guard", "The upstream is overloaded; the request did not begin.", http.StatusServiceUnavailable, notRun},
 	DeadlineBeforeRun:  {"deadline_before_run", "The deadline passed before the request began.", http.StatusGatewayTimeout, notRun},
@@ -107,6 +115,7 @@
 	CallerGone:      {"caller_gone", "The caller gave up while the request was running.", 499, unknown},
 	ResendUnknown:   {"resend_unknown", "The node cannot tell what became of the first request with this idempotency key.", http.StatusBadGateway, unknown},
 	ReceiverUnclear: {"receiver_unclear", "The node beside the upstream cannot tell whether the request ran.", http.StatusBadGateway, unknown},
+	UpstreamCrashed: {"upstream_crashed", "The upstream crashed while it ran the request.", http.StatusBadGateway, unknown},
 
 	TicketMissing: {"ticket_missing", "The call names no active request.", http.StatusBadRequest, notRun},
 	TicketUnknown: {"ticket_unknown", "The named request is no longer active.", http.StatusConflict, notRun},
--- a/server/server.go
+++ b/server/server.go
@@ -32,6 +32,7 @@
 	"quetzalhub/lender"
 	"quetzalhub/limiter"
 	"quetzalhub/naive"
+	"quetzalhub/quarantiner"
 	"quetzalhub/recorder"
 	"quetzalhub/refuser"
 	"quetzalhub/reporter"
@@ -247,7 +248,9 @@
 
 func newTraffic(p trafficParts) *traffic {
 	settings := p.Settings.GetTraffic()
+	quarantine := quarantiner.New()
 	options := forwarder.DispatcherOptions{
+		Quarantine:     quarantine,
 		Identity:       p.Gossiper,
 		Picker:         p.Balancer,
 		RetryThrottler: tracker.NewThrottle(),
@@ -293,6 +296,7 @@
 			Transport:    transporter.New(nil, transporter.Accept(forwarder.Native{}.MatchesRequest)),
 			MaxBodyBytes: body,
 			Dialect:      forwarder.Native{},
+			Quarantine:   quarantine,
 			Reporter:     reporter.Discard{},
 		}),
 	}
