--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -44,7 +44,8 @@
 // Directory lists the nodes that have registered and not deregistered.
 type Directory interface {
 	Register(ctx context.Context, e Entry) error
-	List(ctx context.Context) ([]Entry, error)
+	// List returns the entries of all nodes and the number of those that are unreadable.
+	List(ctx context.Context) (entries []Entry, unreadable int, err error)
 	Deregister(ctx context.Context, name string) error
 	// Restored receives the era of the platform's data each time the platform has come
 	// back from an older copy, which may lack entries that it had acknowledged.
--- a/attacher/registrar.go
+++ b/attacher/registrar.go
@@ -71,12 +71,12 @@
 	if err := r.directory.Register(ctx, r.self); err != nil {
 		return err
 	}
-	entries, err := r.directory.List(ctx)
+	entries, unreadable, err := r.directory.List(ctx)
 	for _, entry := range entries {
 		r.beaconer.AddNode(entry.Name, entry.Address)
 	}
 	if err == nil {
-		r.reporter.Notice("enlisted", "nodes", len(entries))
+		r.reporter.Notice("enlisted", "nodes", len(entries), "unreadable", unreadable)
 	}
 	return err
 }
--- a/attacher/registrar_test.go
+++ b/attacher/registrar_test.go
@@ -37,14 +37,14 @@
 	return nil
 }
 
-func (d *fakeDirectory) List(context.Context) ([]Entry, error) {
+func (d *fakeDirectory) List(context.Context) ([]Entry, int, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var entries []Entry
 	for _, e := range d.entries {
 		entries = append(entries, e)
 	}
-	return entries, nil
+	return entries, 0, nil
 }
 
 func (d *fakeDirectory) Deregister(context.Context, string) error { return nil }
--- a/beaconer/beaconer.go
+++ b/beaconer/beaconer.go
@@ -33,6 +33,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -298,6 +299,10 @@
 	if name == b.name || address == b.self.GetBeacon() {
 		return
 	}
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		// The name would take a place in the table that no beacon can remove.
+		return
+	}
 	p := b.peers[name]
 	if p == nil {
 		p = &peer{lastBeacon: &atomic.Int64{}, silent: true}
