--- /dev/null
+++ b/supervisor/confirmation.go
@@ -0,0 +1,96 @@
+package supervisor
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"quetzalhub/util/repeater"
+)
+
+// Run confirms the upstream by health checks when needed, until the context ends.
+func (s *Supervisor) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-s.lost:
+		}
+		if s.needsProbe() {
+			s.probe(ctx)
+		}
+		s.logRate(time.Now())
+		if s.isConfirmed() {
+			timer.Reset(repeater.Align(0, silencePollInterval))
+		} else {
+			timer.Reset(probePollInterval)
+		}
+	}
+}
+
+func (s *Supervisor) isConfirmed() bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.confirmed
+}
+
+// needsProbe reports whether a health check is due. An upstream that has sent no
+// report for too long loses its confirmation here.
+func (s *Supervisor) needsProbe() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.confirmed && !s.draining && !s.lastSeen.IsZero() && time.Since(s.lastSeen) > s.silenceTimeout() {
+		s.options.Reporter.Notice("upstream_silent", "upstream", s.current.id, "report_age", time.Since(s.lastSeen))
+		s.confirmed, s.trustReports = false, false
+	}
+	return !s.confirmed && !s.draining && time.Since(s.lastProbe) >= probeInterval
+}
+
+func (s *Supervisor) probe(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	health, err := s.options.Prober.Probe(ctx, s.options.Address)
+	if errors.Is(err, ErrNoHealthCheck) {
+		return
+	}
+	s.mu.Lock()
+	s.lastProbe = time.Now()
+	s.mu.Unlock()
+	if err != nil || health.ID == "" {
+		return
+	}
+	if s.confirm(health) {
+		s.options.OnChange()
+	}
+}
+
+// confirm records that an upstream is healthy. It returns false if that upstream is
+// leaving.
+func (s *Supervisor) confirm(h Health) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	found := instance{id: h.ID}
+	if s.current.id == h.ID {
+		found = s.current
+	}
+	if h.Status.Leaving {
+		s.leave(found, "stated in a health check")
+	}
+	if s.options.Memory.Departed(found.id, found.born) {
+		return false
+	}
+	now := time.Now()
+	if s.current != found {
+		s.replaceInstance(found, now)
+	}
+	if h.Status.RateLimit > 0 {
+		s.setRateLimit(h.Status.RateLimit, now)
+	}
+	s.lastSeen = now
+	s.confirmed, s.trustReports = true, true
+	s.options.Reporter.Notice("upstream_confirmed", "upstream", h.ID)
+	return true
+}
