Let requests crash upstreams in the soak

The soak had no upstream that crashes because of a request, so that it could not have found the deadly request.

--- a/cmd/quetzal-soak/main.go
+++ b/cmd/quetzal-soak/main.go
@@ -37,12 +37,13 @@
 	duration := flag.Duration("duration", 20*time.Second, "`time` of faults per seed")
 	nodes := flag.Int("nodes", 6, "`number` of nodes")
 	planned := flag.Bool("planned", false, "inject planned work only")
+	deadly := flag.Bool("deadly", false, "inject requests that crash upstreams only")
 	flag.Parse()
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
 	failed := false
 	for s := *seed; s < *seed+*seeds && ctx.Err() == nil; s++ {
-		failed = !run(ctx, *folder, soaker.Options{Daemon: *daemon, Seed: s, Duration: *duration, Nodes: *nodes, PlannedOnly: *planned}) || failed
+		failed = !run(ctx, *folder, soaker.Options{Daemon: *daemon, Seed: s, Duration: *duration, Nodes: *nodes, PlannedOnly: *planned, DeadlyOnly: *deadly}) || failed
 	}
 	if failed {
 		os.Exit(1)
