Read through the relay and the isolator

The relay is updated by the Beaconer that owns it, the list of avoided relays forgets those whose time is over, and constants stand together.

--- a/beaconer/beaconer.go
+++ b/beaconer/beaconer.go
@@ -256,7 +256,7 @@
 func (b *Beaconer) tick() {
 	b.ticks++
 	now := time.Now()
-	b.relay.choose(b, now)
+	b.updateRelay(now)
 	b.number++
 	relayed := b.sendToRelay(now)
 	var plain, asking []byte
--- a/beaconer/relay.go
+++ b/beaconer/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -50,11 +51,11 @@
 
 // relay is the state of a node as a relay and as a member of a group.
 type relay struct {
-	// inUse is true if this node sends its beacons through the relay called name. It is
-	// its own relay if that is its own name.
+	// inUse is true if this node sends its beacons through a relay: the node called name.
 	inUse bool
 	name  string
-	own   bool
+	// own is true if this node is its own relay.
+	own bool
 	// returnedAt is the time at which the relay last returned a beacon of this node.
 	returnedAt time.Time
 	// distrustedUntil holds relays that have failed.
@@ -65,6 +66,7 @@
 	// group and foreign hold beacons to pass on: those of the group go to the group and
 	// to other relays, those of other groups to the group.
 	group, foreign []*schema.Relayed
+	// flushTimer runs while flushScheduled is true.
 	flushTimer     *time.Timer
 	flushScheduled bool
 }
@@ -72,17 +74,19 @@
 // serves reports whether the node passes on beacons.
 func (r *relay) serves() bool { return r.own || len(r.subscribers) > 0 }
 
-// choose decides whether and through which relay this node sends its beacons. The relays
-// of a failure domain are the first of its nodes in the order of the hashes of their
+// updateRelay decides whether and through which relay this node sends its beacons. The
+// relays of a failure domain are the first of its nodes in the order of the hashes of their
 // names. Nodes with different views may choose different ones, which works too.
-func (r *relay) choose(b *Beaconer, now time.Time) {
+func (b *Beaconer) updateRelay(now time.Time) {
+	r := &b.relay
 	late, candidates := b.checkPeers(now)
+	maps.DeleteFunc(r.distrustedUntil, func(_ string, until time.Time) bool { return now.After(until) })
 	if r.inUse && (late || !r.own && now.Sub(r.returnedAt) > lateIntervals*b.sendInterval()) {
 		r.distrustedUntil[r.name] = now.Add(distrustPeriod)
 	}
 	name := ""
 	if len(candidates) > 0 {
-		name = r.pick(candidates, b.name, now)
+		name = r.pick(candidates, b.name)
 	}
 	if name != r.name {
 		r.returnedAt = now
@@ -96,11 +100,11 @@
 }
 
 // pick returns one of the candidates, if possible one that is trusted.
-func (r *relay) pick(candidates []string, self string, now time.Time) string {
+func (r *relay) pick(candidates []string, self string) string {
 	slices.SortFunc(candidates, func(a, b string) int {
 		return cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b))
 	})
-	trusted := slices.DeleteFunc(slices.Clone(candidates), func(name string) bool { return now.Before(r.distrustedUntil[name]) })
+	trusted := slices.DeleteFunc(slices.Clone(candidates), func(name string) bool { return !r.distrustedUntil[name].IsZero() })
 	if len(trusted) > 0 {
 		candidates = trusted
 	}
--- a/forwarder/isolation.go
+++ b/forwarder/isolation.go
@@ -32,6 +32,8 @@
 	// defaultIsolationWait is the longest wait of an isolated request for its turn if
 	// its latency objective is not known.
 	defaultIsolationWait = 500 * time.Millisecond
+	// maxHeldWait is the longest hold after which callers are told to come back.
+	maxHeldWait = 10 * time.Second
 )
 
 // Quarantine remembers the requests that ran in upstreams when they crashed.
@@ -66,9 +68,6 @@
 	return &refuser.Error{Code: refuser.RequestHeld, Detail: refuser.Detail{Note: note, RetryAfter: left}}
 }
 
-// maxHeldWait is the longest hold after which callers are told to come back.
-const maxHeldWait = 10 * time.Second
-
 // pick selects the node for the next attempt of a call. Isolated calls that are alike go to
 // the same node. It returns a refusal if the call is held or no node is left.
 func (d *Dispatcher) pick(call *Call, tried set.Set[string]) (*balancer.Target, error) {
