--- a/forwarder/isolation.go
+++ b/forwarder/isolation.go
@@ -48,9 +48,9 @@
 	Store(suspicions []*schema.Suspicion)
 }
 
-// newQuarantineRequest returns the properties of a request by which alike ones are found.
-// Nested calls belong to the service that makes them: of several alike requests, the
-// one that made a call is not known for certain.
+// newQuarantineRequest returns the properties by which the quarantine identifies a request.
+// The caller of a nested call is the service that makes it, since the request for which it
+// is made is not known for certain.
 func newQuarantineRequest(nested bool, workspace, origin, method, host string, from *url.URL, body []byte) quarantiner.Request {
 	caller := "workspace " + workspace
 	if nested {
@@ -68,7 +68,7 @@
 	return &refuser.Error{Code: refuser.RequestHeld, Detail: refuser.Detail{Note: note, RetryAfter: left}}
 }
 
-// pick selects the node for the next attempt of a call. Isolated calls that are alike go to
+// pick selects the node for the next attempt of a call. Identical isolated calls go to
 // the same node. It returns a refusal if the call is held or no node is left.
 func (d *Dispatcher) pick(call *Call, tried set.Set[string]) (*balancer.Target, error) {
 	missing := &refuser.Error{Code: refuser.EndpointMissing}
@@ -164,8 +164,8 @@
 		case <-ctx.Done():
 			return &refuser.Error{Code: refuser.DeadlineBeforeRun}
 		}
-		// The request before this one may have been alike, and crashed the upstream
-		// or cleared the suspicion.
+		// The request before this one may have been identical, and have crashed the
+		// upstream or cleared the suspicion.
 		treatment, left = i.quarantine.Treatment(f)
 		if rc.isolated = treatment == quarantiner.Isolated; !rc.isolated {
 			<-i.turn
@@ -269,7 +269,7 @@
 	return true
 }
 
-// quarantineRequest returns the properties of the call by which alike ones are found.
+// quarantineRequest returns the properties by which the quarantine identifies the call.
 func (rc *relayCall) quarantineRequest(from *http.Request, body []byte) quarantiner.Request {
 	e := rc.envelope
 	return newQuarantineRequest(e.GetDepth() > 1, e.GetWorkspace(), e.GetOrigin(), from.Header.Get(headerMethod), e.GetHost(), from.URL, body)
--- a/quarantiner/exchange.go
+++ b/quarantiner/exchange.go
@@ -54,7 +54,7 @@
 	return slices.DeleteFunc(q.Suspicions(), func(s *schema.Suspicion) bool { return len(s.GetAlone()) == 0 })
 }
 
-// Suspicion returns the record of alike requests, or nil if there is none.
+// Suspicion returns the record of a request, or nil if there is none.
 func (q *Quarantiner) Suspicion(f Fingerprint) *schema.Suspicion {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -1,16 +1,17 @@
-// Package quarantiner finds requests that crash the upstreams that run them, and keeps
-// them from crashing more.
+// Package quarantiner finds requests that crash the upstreams that run them, also known as
+// poison requests or queries of death, and keeps them from crashing more.
 //
-// When an upstream crashes, every request that ran there is suspected. Most of them are
-// innocent, so a suspected request is not refused but isolated: alike requests go to the
-// same upstream, which runs one suspected request at a time. If it crashes again, that one is
-// held: requests like it are refused, for longer after each further crash. If
-// it ends, suspicion is dropped. A request that crashes every upstream is so held after two
-// crashes and tested again after the first hold; any other one stays usable.
+// When an upstream crashes, every request that ran there is suspected. Most of them have
+// not caused the crash, so a suspected request is not refused but isolated: identical
+// requests go to the same upstream, which runs one suspected request at a time. If that
+// upstream crashes too, the request that it ran is held: it is refused, for longer
+// after each further crash. If the request ends, the suspicion is dropped. A request that
+// crashes every upstream is thus held after two crashes and tried once more after the
+// first hold; all others remain in use.
 //
-// Requests are alike if they have the same fingerprint: caller, method, host, path, query
-// and body. Crashes have many causes; only one that happens while the only isolated
-// request runs counts against it alone.
+// Identical requests have the same fingerprint, that of caller, method, host, path, query and
+// body. Crashes have many causes, so only a crash during an isolated run is attributed to
+// one request.
 //
 // Nodes exchange their records. A crash is identified by the instance of the upstream, so
 // that no crash counts twice. Held requests are also kept on the platform, for a start of
@@ -59,10 +60,10 @@
 // further crash in isolation. The first is about as long as an upstream takes to start again.
 var holds = []time.Duration{5 * time.Second, 10 * time.Minute, time.Hour, 24 * time.Hour}
 
-// Fingerprint identifies alike requests. Zero stands for none.
+// Fingerprint identifies identical requests. Zero stands for none.
 type Fingerprint uint64
 
-// Request holds the properties in which alike requests agree.
+// Request holds the properties that make up a fingerprint.
 type Request struct {
 	// Caller is the workspace, or the calling service for a nested call.
 	Caller string
@@ -103,7 +104,7 @@
 	Isolated bool
 }
 
-// record is what is known of alike requests.
+// record is what is known of a request and of all identical ones.
 type record struct {
 	caller uint32
 	// crashes holds the crashes in which they ran, and for each whether it was in
@@ -221,7 +222,7 @@
 // Holds receives each new hold. Holds are left out while nobody receives them.
 func (q *Quarantiner) Holds() <-chan Hold { return q.holds }
 
-// add adds what another record says of alike requests and reports whether they are held
+// add adds what another record says of a request and reports whether it is held
 // because of it. The caller holds the lock.
 func (q *Quarantiner) add(f Fingerprint, other *record) bool {
 	if at, ok := q.endedAt[f]; ok && !other.lastCrashAt.After(at) || other.expired(time.Now()) {
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -227,7 +227,7 @@
 	}
 }
 
-// TestFingerprint guards against different requests that are taken for alike.
+// TestFingerprint guards against different requests that are taken for identical ones.
 func TestFingerprint(t *testing.T) {
 	g := NewWithT(t)
 	base := quarantiner.Request{Caller: "gloves", Method: "POST", Host: "hall.example", Target: "/look/1?a=b", Body: []byte("x")}
