Look for silent upstreams between the decisions of the shedder

The logs of a run that failed in the same way: the supervisor found an upstream silent and confirmed it again 1 ms later, but since timers are aligned the shedder decided in that very millisecond, saw one upstream with a rate limit only, and refused 0.9 of the requests for 200 ms.

Change: a confirmed upstream is looked at halfway between two decisions.

--- a/supervisor/confirmation.go
+++ b/supervisor/confirmation.go
@@ -24,13 +24,21 @@
 		}
 		s.logRate(time.Now())
 		if s.isConfirmed() {
-			timer.Reset(repeater.Align(0, silencePollInterval))
+			timer.Reset(untilSilencePoll())
 		} else {
 			timer.Reset(probePollInterval)
 		}
 	}
 }
 
+// untilSilencePoll returns the time until halfway between two multiples of the interval. At
+// the multiples the shedder decides, and would take a silent upstream for lost while its
+// health check is on its way.
+func untilSilencePoll() time.Duration {
+	const offset = silencePollInterval / 2
+	return repeater.Align(offset, silencePollInterval) - offset
+}
+
 func (s *Supervisor) isConfirmed() bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
