Keep what a large fleet admits independent of its size

Cause: a node that started had a token for every workspace, and a bucket held 1.5 however small the node's share was, so that the excess grew with the fleet. A node cut off from the others chose itself as the holder of the reserve, with its whole rate.

Now tokens are conserved. A workspace whose bucket would not hold 1.5 tokens at each node is pooled: all its tokens are in reserves of two holders, and a node takes one for each request. Holders are found by hash, in 16 sets. A holder scales its part by the share of the known nodes that it reaches, so that the sides of a partition add up to the rate. New holders and buckets start with a part of the operators' allowance. Usage reports of pooled workspaces are left out of beacons.

Weighed: rights at one node by hash (all requests of a sixteenth of the workspaces are refused for two seconds when it dies); a larger reserve beside shares (shares below a token are lost); forwarding requests to the holder (another hop for each body).

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -1,24 +1,33 @@
 // Package allocator enforces the rates of workspaces in a fleet in which every node
 // receives the usage reports of every other node.
 //
-// Each node reports its arrival rate for each workspace. From the reports of all
-// nodes it computes its own share of the configured rate: its own arrival rate and
-// an equal share of the unused rate, or, if the arrivals exceed the rate, a share
-// in proportion to its arrivals. The shares of all nodes add up to the rate as
-// far as the nodes have received the same reports. The share of a node that
-// stopped reporting stays reserved for it.
+// What all nodes together admit is conserved: it does not grow with their number. Tokens
+// are in reserves, which two nodes hold for each workspace, and in buckets at the nodes.
 //
-// Arrivals are uneven over short times, and a small bucket at each node refuses
-// more of them than one large bucket would. So a part of each rate and burst is
-// kept in a reserve at one node, the holder. Nodes with the same view of the fleet
-// choose the same holder. A node without tokens borrows from the holder before it
-// refuses a request.
+// A workspace whose bucket, divided among all nodes, would not hold a few whole tokens at
+// each is pooled: all its tokens are in the reserves, and a node takes one for each request.
+// That is the usual case in a large fleet.
+//
+// The rates of other workspaces are divided. Each node reports its arrival rate, and from
+// the reports computes its own share: its own arrival rate and an equal share of the
+// unused rate, or, if the arrivals exceed the rate, a share in proportion to its
+// arrivals. The shares of all nodes add up to the rate as far as the nodes have received
+// the same reports. The share of a node that stopped reporting stays reserved for it.
+// Arrivals are uneven over short times, and a small bucket at each node refuses more of
+// them than one large bucket would. So a part of the rate stays in the reserves, and a
+// node without tokens borrows before it refuses a request.
+//
+// Nodes with the same view of the fleet choose the same holders. A holder scales its
+// reserve by the share of the known nodes that it reaches, so that the sides of a
+// partition have no more than the rate together. A reserve of a node that has just become
+// a holder starts with what may be admitted in addition to earlier requests that it does
+// not know of.
 //
 // # Usage
 //
 //	d := allocator.New(fleet, state, lender, allocator.Allowance{Window: 5 * time.Second, Overage: 0.1, Slack: 20})
 //	if err := d.Admit(ctx, "gloves", 200*time.Millisecond); err != nil { ... }
-//	resp, err := d.Borrow(req) // at the holder
+//	resp, err := d.Borrow(req) // at a holder
 package allocator
 
 import (
@@ -47,17 +56,26 @@
 	// above zero because a node counts few arrivals, so that their average is
 	// inexact.
 	evenWeight = 0.05
-	// minBucketSize is the minimum bucket size in tokens. A smaller bucket would
-	// refuse single requests of workspaces with low rates.
+	// minBucketSize is the mean size in tokens that the buckets of a workspace must
+	// have at the nodes for its rate to be divided. Smaller buckets would refuse single
+	// requests of workspaces with low rates.
 	minBucketSize = 1.5
-	// assumedNodes is the number of nodes, with equal arrivals, that a node
-	// assumes while it has no usage reports of others.
-	assumedNodes = 32
 	// rateOverageShare and burstOverageShare are the shares of the allowance that
-	// are used to admit more requests. The rest covers arrivals that other nodes
-	// have not reported yet.
+	// are used to admit more requests, and restartShare is the share with which
+	// reserves and buckets start. The rest covers arrivals that other nodes have
+	// not reported yet.
 	rateOverageShare  = 0.5
 	burstOverageShare = 0.5
+	restartShare      = 0.25
+	// unreportedFactor multiplies the number of nodes, with equal arrivals, among which
+	// a node divides a rate while it has no usage reports of others.
+	unreportedFactor = 2
+	// pooledTokenLifetime is the time after which unused tokens of a pooled workspace
+	// are dropped at a node. Otherwise all nodes could use many old ones at once.
+	pooledTokenLifetime = time.Second
+	// acceptanceWeight is the weight of a new request in the moving average of the
+	// share that got a token.
+	acceptanceWeight = 0.1
 	// retryInterval is the time after which a waiting request tries again to take
 	// a token.
 	retryInterval = 40 * time.Millisecond
@@ -101,6 +119,12 @@
 	// otherArrivals is the sum of the arrival rates reported by other nodes.
 	otherArrivals float64
 	decayedAt     time.Time
+	// pooled is true if all tokens of the workspace are in the reserves.
+	pooled bool
+	// waiting is the number of requests that wait for a call to a holder.
+	waiting int
+	// acceptance is the moving average of the share of requests that got a token.
+	acceptance float64
 	// borrowDone is closed when the call to the holder that is under way ends. It
 	// is nil if there is none.
 	borrowDone chan struct{}
@@ -127,16 +151,22 @@
 	lender    Lender
 	allowance Allowance
 
+	started   time.Time
+
 	mu       sync.Mutex
 	accounts map[string]*account
 	reserves map[string]*reserve
+	holders  holderCache
+	// unreachableUntil holds, by name, the holders that did not answer and the time
+	// until which they are not asked again.
+	unreachableUntil map[string]time.Time
 }
 
 // New returns an allocator.
 func New(f Fleet, s State, l Lender, a Allowance) *Allocator {
 	return &Allocator{
-		fleet: f, state: s, lender: l, allowance: a,
-		accounts: map[string]*account{}, reserves: map[string]*reserve{},
+		fleet: f, state: s, lender: l, allowance: a, started: time.Now(),
+		accounts: map[string]*account{}, reserves: map[string]*reserve{}, unreachableUntil: map[string]time.Time{},
 	}
 }
 
@@ -168,6 +198,10 @@
 	if a == nil || !a.limit.HasRate() {
 		return
 	}
+	if a.pooled {
+		a.addTokens(a.acceptance, time.Now())
+		return
+	}
 	a.tokens += min(1, a.rate/(1-reserveShare)/max(a.recentArrivals, 1e-3))
 }
 
@@ -209,6 +243,9 @@
 		d.borrowTokens(ctx, workspace, a)
 		a.refill(time.Now())
 	}
+	if firstAttempt {
+		a.countOutcome(a.tokens >= 1)
+	}
 	if a.tokens < 1 {
 		wait := time.Duration((1 - a.tokens) / max(a.rate, 1e-3) * float64(time.Second))
 		return &refuser.Error{Code: refuser.RateExceeded, Detail: refuser.Detail{RetryAfter: min(wait, time.Second), Note: a.refusalNote(workspace)}}
@@ -219,6 +256,10 @@
 
 // refusalNote returns the limit and the arrival rates that led to a refusal.
 func (a *account) refusalNote(workspace string) string {
+	if a.pooled {
+		return fmt.Sprintf("Workspace %s has a limit of %.0f/s for all nodes together; %.1f/s arrive at this node, of which %.0f%% were admitted.",
+			workspace, a.limit.Rate, a.arrivals, 100*a.acceptance)
+	}
 	return fmt.Sprintf("Workspace %s has a limit of %.0f/s; %.1f/s arrive at this node and %.1f/s at other nodes; the share of this node is %.1f/s.",
 		workspace, a.limit.Rate, a.arrivals, a.otherArrivals, a.rate)
 }
@@ -226,14 +267,32 @@
 func (d *Allocator) account(workspace string, limit resolver.Limit, now time.Time) *account {
 	a := d.accounts[workspace]
 	if a == nil {
-		a = &account{limit: limit, refilledAt: now, decayedAt: now}
+		a = &account{limit: limit, refilledAt: now, decayedAt: now, acceptance: 1}
 		d.accounts[workspace] = a
 		d.updateShare(workspace, a, now)
-		a.tokens = 1
+		if !a.pooled {
+			fleetRate, _ := d.fleetBucket(limit)
+			a.tokens = min(1, restartShare*d.excess(limit)*a.rate/fleetRate)
+		}
 	}
 	return a
 }
 
+// countOutcome adds to the average whether a request got a token.
+func (a *account) countOutcome(admitted bool) {
+	a.acceptance *= 1 - acceptanceWeight
+	if admitted {
+		a.acceptance += acceptanceWeight
+	}
+}
+
+// addTokens adds tokens of a pooled workspace.
+func (a *account) addTokens(tokens float64, now time.Time) {
+	a.refill(now)
+	a.tokens += tokens
+	a.refilledAt = now
+}
+
 // countArrival adds an arrival to the averages.
 func (a *account) countArrival(now time.Time) {
 	a.decay(now)
@@ -250,6 +309,12 @@
 
 // refill adds the tokens accrued since the last call.
 func (a *account) refill(now time.Time) {
+	if a.pooled {
+		if now.Sub(a.refilledAt) > pooledTokenLifetime {
+			a.tokens = 0
+		}
+		return
+	}
 	// Borrowed tokens may exceed the bucket size and are kept.
 	a.tokens = max(a.tokens, min(a.size, a.tokens+a.rate*now.Sub(a.refilledAt).Seconds()))
 	a.refilledAt = now
@@ -259,31 +324,49 @@
 func (d *Allocator) updateShare(workspace string, a *account, now time.Time) {
 	a.refill(now)
 	a.decay(now)
-	others, nodes := 0.0, 1.0
-	for _, usages := range d.fleet.Usages() {
-		nodes++
+	a.shareUpdatedAt = now
+	rate, size := d.fleetBucket(a.limit)
+	nodes := float64(d.fleet.View().Known)
+	a.pooled = isPooled(size, nodes)
+	if a.pooled {
+		a.rate, a.size = 0, 0
+		return
+	}
+	others, reports := 0.0, d.fleet.Usages()
+	for _, usages := range reports {
 		for _, u := range usages {
 			if u.GetWorkspace() == workspace {
 				others += float64(u.GetArrivals())
 			}
 		}
 	}
-	if nodes == 1 {
-		nodes = assumedNodes
-		others = a.arrivals * (assumedNodes - 1)
+	nodes = max(nodes, float64(len(reports)+1))
+	if len(reports) == 0 {
+		// Others may have divided most of the rate among themselves.
+		nodes *= unreportedFactor
+		others = a.arrivals * (nodes - 1)
 	}
 	a.otherArrivals = others
-	rate, size := d.fleetBucket(a.limit)
 	a.rate = nodeShare((1-reserveShare)*rate, a.arrivals, others, nodes)
-	a.size = max(minBucketSize, (1-reserveShare)*size*a.rate/rate)
-	a.shareUpdatedAt = now
+	a.size = (1 - reserveShare) * size * a.rate / rate
+}
+
+// isPooled reports whether all tokens of a workspace are kept in the reserves, given the
+// size of the bucket that the whole fleet would have.
+func isPooled(size, nodes float64) bool {
+	return (1-reserveShare)*size < minBucketSize*nodes
+}
+
+// excess returns the number of requests that the allowance accepts in a window beyond the
+// rate and burst.
+func (d *Allocator) excess(l resolver.Limit) float64 {
+	return d.allowance.Overage*(l.Rate*d.allowance.Window.Seconds()+l.Burst) + d.allowance.Slack
 }
 
 // fleetBucket returns the rate and the size that one bucket for the whole fleet
 // would have, including the used part of the allowance.
 func (d *Allocator) fleetBucket(l resolver.Limit) (rate, size float64) {
-	spare := burstOverageShare * (d.allowance.Overage*(l.Rate*d.allowance.Window.Seconds()+l.Burst) + d.allowance.Slack)
-	return l.Rate * (1 + rateOverageShare*d.allowance.Overage), l.Burst + spare
+	return l.Rate * (1 + rateOverageShare*d.allowance.Overage), l.Burst + burstOverageShare*d.excess(l)
 }
 
 // nodeShare returns a node's share of a rate, given its own arrival rate, that of
@@ -296,7 +379,8 @@
 	return own + (rate-own-others)/nodes
 }
 
-// Usages returns the arrival rate at this node of each workspace in use.
+// Usages returns the arrival rate at this node of each workspace in use whose rate is
+// divided.
 func (d *Allocator) Usages() []*schema.Usage {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -304,7 +388,7 @@
 	var list []*schema.Usage
 	for workspace, a := range d.accounts {
 		a.decay(now)
-		if a.arrivals > minReportedArrivals {
+		if !a.pooled && a.arrivals > minReportedArrivals {
 			list = append(list, &schema.Usage{Workspace: workspace, Arrivals: float32(a.arrivals)})
 		}
 	}
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -26,6 +26,8 @@
 	snapshot *resolver.Snapshot
 	nodes    []*node
 	view     *gossiper.View
+	// interval is the time between two exchanges of usage reports.
+	interval time.Duration
 }
 
 type node struct {
@@ -34,10 +36,12 @@
 	name     string
 	usages   atomic.Pointer[map[string][]*schema.Usage]
 	isolated bool
+	// ownView is the view of this node, if it differs from that of the fleet.
+	ownView *gossiper.View
 }
 
 func newFleet(t *testing.T, count int, rate, burst float64) *fleet {
-	f := &fleet{}
+	f := &fleet{interval: 200 * time.Millisecond}
 	f.setLimit(t, rate, burst)
 	members := map[string]*schema.Member{}
 	for i := range count {
@@ -70,9 +74,15 @@
 
 func (f *fleet) Snapshot() *resolver.Snapshot      { return f.snapshot }
 func (n *node) Usages() map[string][]*schema.Usage { return *n.usages.Load() }
-func (n *node) View() *gossiper.View               { return n.fleet.view }
 func (n *node) Identity() (string, uint64)         { return n.name, 1 }
 
+func (n *node) View() *gossiper.View {
+	if n.ownView != nil {
+		return n.ownView
+	}
+	return n.fleet.view
+}
+
 func (n *node) Borrow(_ context.Context, holder string, req *schema.BorrowRequest) (*schema.BorrowResponse, error) {
 	for _, other := range n.fleet.nodes {
 		if other.name == holder && !other.isolated && !n.isolated {
@@ -133,7 +143,7 @@
 	for time.Since(start) < d {
 		at := time.Since(start)
 		time.Sleep(time.Duration(rng.ExpFloat64() / rate(at) * float64(time.Second)))
-		for ; time.Now().After(next); next = next.Add(200 * time.Millisecond) {
+		for ; time.Now().After(next); next = next.Add(f.interval) {
 			f.exchange()
 			if injectFaults != nil {
 				injectFaults(time.Since(start))
--- a/allocator/reserve.go
+++ b/allocator/reserve.go
@@ -1,7 +1,10 @@
 package allocator
 
 import (
+	"cmp"
 	"context"
+	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,21 +15,26 @@
 )
 
 const (
-	// reserveShare is the share of each rate and burst that is kept in the reserve.
+	// reserveShare is the share of a divided rate and burst that is kept in the reserves.
 	reserveShare = 0.35
+	// holdersPerWorkspace is the number of nodes among which the reserve of a workspace
+	// is divided. While one does not answer, the others still grant their parts.
+	holdersPerWorkspace = 2
+	// holderShards is the number of sets of holders. It bounds the nodes to which every
+	// other one has connections.
+	holderShards = 16
 	// borrowTimeout is the timeout of a call to a holder, for which a request
 	// waits.
 	borrowTimeout = 50 * time.Millisecond
-	// emptyReserveInterval is the time for which no tokens are borrowed from a
-	// reserve that was empty.
+	// unreachableInterval is the time for which a holder that did not answer is not
+	// asked again.
+	unreachableInterval = 300 * time.Millisecond
+	// emptyReserveInterval is the time for which no tokens are borrowed from reserves
+	// that were empty.
 	emptyReserveInterval = 30 * time.Millisecond
-	// borrowAhead is the time of arrivals for which a node borrows tokens in one
-	// call.
+	// borrowAhead is the time of arrivals for which a node borrows tokens of a divided
+	// rate in one call.
 	borrowAhead = 100 * time.Millisecond
-	// initialShare is the share of a full reserve with which a new holder starts.
-	// It is below one because requests admitted before a restart still count in
-	// the current window.
-	initialShare = 0.5
 	// maxGrantShare is the maximum share of a reserve granted to one request.
 	maxGrantShare = 0.25
 )
@@ -37,46 +45,124 @@
 	refilledAt time.Time
 }
 
-// borrowTokens borrows tokens from the holder of the reserve, or waits for a call
+// holderCache holds the names of the holders of each shard in a view of the fleet.
+type holderCache struct {
+	view   *gossiper.View
+	shards [holderShards][]string
+}
+
+// holdersOf returns the holders of a workspace's reserve: the live nodes with the highest
+// hashes of their names and the shard of the workspace (rendezvous hashing).
+func (c *holderCache) holdersOf(v *gossiper.View, workspace string) []string {
+	if c.view != v {
+		*c = holderCache{view: v}
+	}
+	shard := xxhash.Sum64String(workspace) % holderShards
+	if c.shards[shard] == nil {
+		c.shards[shard] = highestRanked(v, "/"+strconv.FormatUint(shard, 10))
+	}
+	return c.shards[shard]
+}
+
+// highestRanked returns the holders of a shard.
+func highestRanked(v *gossiper.View, shard string) []string {
+	type ranked struct {
+		name string
+		hash uint64
+	}
+	list := make([]ranked, 0, len(v.Members))
+	for name, m := range v.Members {
+		if gossiper.Live(m) {
+			list = append(list, ranked{name, xxhash.Sum64String(name + shard)})
+		}
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.name, b.name))
+	})
+	names := []string{}
+	for _, r := range list[:min(len(list), holdersPerWorkspace)] {
+		names = append(names, r.name)
+	}
+	return names
+}
+
+// borrowTokens borrows tokens from the holders of the reserve, or waits for a call
 // that is already under way. The caller holds the lock, which is released during
 // the wait.
 func (d *Allocator) borrowTokens(ctx context.Context, workspace string, a *account) {
-	if a.borrowDone != nil {
+	for a.borrowDone != nil {
 		borrowDone := a.borrowDone
+		a.waiting++
 		d.mu.Unlock()
 		select {
 		case <-borrowDone:
 		case <-ctx.Done():
 		}
 		d.mu.Lock()
-		return
+		a.waiting--
+		if a.tokens >= 1 || ctx.Err() != nil || time.Now().Before(a.reserveEmptyUntil) {
+			return
+		}
 	}
-	holder := holderOf(d.fleet.View(), workspace)
 	requested := 1 + a.arrivals*borrowAhead.Seconds()
-	if name, _ := d.fleet.Identity(); holder == name {
-		a.addBorrowed(d.grant(workspace, a.limit, requested, time.Now()))
-		return
+	if a.pooled {
+		requested = float64(1 + a.waiting)
 	}
 	a.borrowDone = make(chan struct{})
-	d.mu.Unlock()
-	tokens := d.callHolder(ctx, holder, workspace, requested)
-	d.mu.Lock()
+	tokens := d.borrowFromHolders(ctx, workspace, a.limit, requested)
 	close(a.borrowDone)
 	a.borrowDone = nil
 	a.addBorrowed(tokens)
 }
 
-// addBorrowed adds borrowed tokens and records if the reserve was empty.
+// borrowFromHolders asks the holders in turn until one grants a token. Half of the nodes
+// begin with each, so that both parts of the reserve are used. The caller holds the lock,
+// which is released during the calls.
+func (d *Allocator) borrowFromHolders(ctx context.Context, workspace string, limit resolver.Limit, requested float64) float64 {
+	holders := d.holders.holdersOf(d.fleet.View(), workspace)
+	self, _ := d.fleet.Identity()
+	first := int(xxhash.Sum64String(self) % holdersPerWorkspace)
+	for i := range holders {
+		holder := holders[(first+i)%len(holders)]
+		if holder == self {
+			if tokens := d.grant(workspace, limit, requested, time.Now()); tokens >= 1 {
+				return tokens
+			}
+			continue
+		}
+		if time.Now().Before(d.unreachableUntil[holder]) {
+			continue
+		}
+		d.mu.Unlock()
+		tokens, err := d.callHolder(ctx, holder, workspace, requested)
+		d.mu.Lock()
+		if err != nil && ctx.Err() == nil {
+			d.unreachableUntil[holder] = time.Now().Add(unreachableInterval)
+		}
+		if tokens >= 1 {
+			return tokens
+		}
+	}
+	return 0
+}
+
+// addBorrowed adds borrowed tokens and records if the reserves were empty.
 func (a *account) addBorrowed(tokens float64) {
-	a.tokens += tokens
+	now := time.Now()
+	if a.pooled {
+		a.addTokens(tokens, now)
+	} else {
+		a.tokens += tokens
+	}
 	if tokens < 1 {
-		a.reserveEmptyUntil = time.Now().Add(emptyReserveInterval)
+		a.reserveEmptyUntil = now.Add(emptyReserveInterval)
 	}
 }
 
-// callHolder requests tokens from the holder and returns the number granted, or
-// zero if the call fails.
-func (d *Allocator) callHolder(ctx context.Context, holder, workspace string, requested float64) float64 {
+// callHolder requests tokens from a holder and returns the number granted. Tokens of a lost
+// answer are not used by any node, so the workspace is admitted less than its rate, not
+// more.
+func (d *Allocator) callHolder(ctx context.Context, holder, workspace string, requested float64) (float64, error) {
 	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 	defer cancel()
 	name, incarnation := d.fleet.Identity()
@@ -84,30 +170,13 @@
 		Borrower: name, Incarnation: incarnation, Demands: []*schema.Demand{{Workspace: workspace, Tokens: requested}},
 	})
 	if err != nil {
-		// Tokens of a lost answer are not used by any node, so the workspace is
-		// admitted less than its rate, not more.
-		return 0
+		return 0, err
 	}
 	tokens := 0.0
 	for _, l := range resp.GetLoans() {
 		tokens += l.GetTokens()
 	}
-	return tokens
-}
-
-// holderOf returns the holder of a workspace's reserve: the live node with the
-// highest hash of node and workspace name (rendezvous hashing).
-func holderOf(v *gossiper.View, workspace string) string {
-	best, highest := "", uint64(0)
-	for name, m := range v.Members {
-		if !gossiper.Live(m) {
-			continue
-		}
-		if h := xxhash.Sum64String(name + "/" + workspace); best == "" || h > highest {
-			best, highest = name, h
-		}
-	}
-	return best
+	return tokens, nil
 }
 
 // Borrow grants tokens from the reserves held by this node.
@@ -134,16 +203,29 @@
 // creates its own.
 func (d *Allocator) Adopt(*schema.AdoptRequest) {}
 
-// grant takes up to the requested number of tokens from a reserve. The caller
-// holds the lock.
+// grant takes up to the requested number of tokens from this node's part of a reserve. The
+// part is empty if this node is not a holder in its own view. The caller holds the lock.
 func (d *Allocator) grant(workspace string, limit resolver.Limit, requested float64, now time.Time) float64 {
+	view := d.fleet.View()
+	holders := d.holders.holdersOf(view, workspace)
+	if name, _ := d.fleet.Identity(); !slices.Contains(holders, name) {
+		return 0
+	}
 	rate, size := d.fleetBucket(limit)
+	part := view.Reach() / float64(len(holders))
+	initial := part * restartShare * d.excess(limit)
+	if isPooled(size, float64(view.Known)) {
+		// Nodes that start together may each be a holder in its own view for a moment.
+		initial = min(initial, part*rate*now.Sub(d.started).Seconds())
+	} else {
+		part *= reserveShare
+	}
 	r := d.reserves[workspace]
 	if r == nil {
-		r = &reserve{tokens: initialShare * reserveShare * size, refilledAt: now}
+		r = &reserve{tokens: initial, refilledAt: now}
 		d.reserves[workspace] = r
 	}
-	r.tokens = min(reserveShare*size, r.tokens+reserveShare*rate*now.Sub(r.refilledAt).Seconds())
+	r.tokens = min(part*size, r.tokens+part*rate*now.Sub(r.refilledAt).Seconds())
 	r.refilledAt = now
 	if r.tokens < 1 {
 		return 0
--- a/attacher/registrar.go
+++ b/attacher/registrar.go
@@ -76,6 +76,7 @@
 		r.beaconer.AddNode(entry.Name, entry.Address)
 	}
 	if err == nil {
+		r.beaconer.Listed()
 		r.reporter.Notice("enlisted", "nodes", len(entries), "unreadable", unreadable)
 	}
 	return err
--- a/beaconer/beaconer.go
+++ b/beaconer/beaconer.go
@@ -106,6 +106,11 @@
 	inflowsEvery = 2
 	// neighborsEvery means that one in this many beacons lists neighbors and remarks.
 	neighborsEvery = 10
+	// introductionTime is the time after its start in which a node receives the beacons of
+	// all others that live, even without the directory.
+	introductionTime = 2 * time.Second
+	// maxAssumedNodes is the number of nodes of the largest fleet.
+	maxAssumedNodes = 1200
 	// fullEvery means that one in this many relayed beacons is not a delta. The first
 	// startupBeacons after a start are not deltas either.
 	fullEvery = 10
@@ -136,7 +141,9 @@
 	peers  map[string]*peer
 	// dirty is true if the table must be published before the next tick.
 	dirty bool
-	relay relay
+	// listed is true once the directory has been read.
+	listed bool
+	relay  relay
 	// sentUsages holds the arrivals by workspace that were last sent.
 	sentUsages map[string]float32
 }
@@ -202,6 +209,13 @@
 	b.enqueue(func() { b.addNode(name, address) })
 }
 
+// Listed records that all nodes of the directory have been added.
+func (b *Beaconer) Listed() {
+	b.enqueue(func() {
+		b.listed, b.dirty = true, true
+	})
+}
+
 // Announce sends a beacon with remarks to all other nodes at once, for changes that
 // must not wait for the next interval.
 func (b *Beaconer) Announce() { b.enqueue(b.broadcast) }
--- a/beaconer/table.go
+++ b/beaconer/table.go
@@ -144,8 +144,10 @@
 	members := map[string]*schema.Member{b.name: b.ownRecord()}
 	usages := map[string][]*schema.Usage{}
 	lastBeacons := map[string]*atomic.Int64{}
+	unheard := 0
 	for name, p := range b.peers {
 		if p.member == nil {
+			unheard++
 			continue
 		}
 		usages[name] = p.usages
@@ -157,8 +159,19 @@
 		}
 		members[name] = m
 	}
-	b.view.Store(gossiper.NewView(members))
+	view := gossiper.NewView(members)
+	view.Known = max(view.Known+unheard, b.assumedNodes())
+	b.view.Store(view)
 	b.usages.Store(&usages)
 	b.lastBeacons.Store(&lastBeacons)
 	b.dirty = false
 }
+
+// assumedNodes returns the number of nodes that the fleet is assumed to have at least. A
+// node that has just started knows few others, until it has the directory or their beacons.
+func (b *Beaconer) assumedNodes() int {
+	if b.listed || time.Since(b.started) > introductionTime {
+		return 0
+	}
+	return maxAssumedNodes
+}
--- a/gossiper/view.go
+++ b/gossiper/view.go
@@ -32,6 +32,9 @@
 	// Replaced lists earlier instances of nodes that restarted without leaving
 	// first.
 	Replaced []Instance
+	// Known is the number of nodes that are members and have not left, or that are known
+	// otherwise and have not been heard from.
+	Known int
 	// ranked holds the live nodes of each failure domain in the order of the
 	// tree along which confirmations propagate.
 	ranked   map[string][]*schema.Member
@@ -47,6 +50,9 @@
 	}
 	for _, m := range members {
 		v.Digest ^= memberDigest(m)
+		if m.GetStatus() != schema.Status_STATUS_LEFT {
+			v.Known++
+		}
 		if !Live(m) {
 			continue
 		}
@@ -97,6 +103,15 @@
 	return n
 }
 
+// Reach returns the share of the known nodes that are live. The two sides of a partition
+// see shares that add up to at most 1.
+func (v *View) Reach() float64 {
+	if v.Known == 0 {
+		return 0
+	}
+	return min(1, float64(v.LiveCount())/float64(v.Known))
+}
+
 // Service returns the alive nodes with a ready upstream of a service.
 func (v *View) Service(name string) []*schema.Member { return v.services[name] }
 
