Send calls where they probably end in time

Cause: requests of the large site failed through their calls in calm seconds with nothing refused. A traced order made four calls in turn, which must end within a second together; each of them went to the slow upstream of the own failure domain (0.7 of the mean speed), since other domains count 0.03.

Now the choice considers the time left: that of the request which makes the calls, its calls still to come (by the mean number that requests of its route make), and the time that they take at this upstream, with its queue.

--- a/attacher/module.go
+++ b/attacher/module.go
@@ -345,6 +345,7 @@
 		Failover:       true,
 		Quarantine:     q,
 		Reporter:       rep,
+		SlotTime:       f.estimator.SlotTime,
 	})
 	upstreams := &closingUpstreams{Upstreams: st}
 	lifetime := &forwarder.Lifetime{}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -7,7 +7,8 @@
 // are left. A node of another region counts as having twice the expected wait.
 //
 // With the option ByCapacity, nodes are instead selected at random by weights
-// that follow the spare capacity that they report.
+// that follow the spare capacity that they report. PickInTime then also avoids upstreams
+// at which the call would probably not end in time.
 //
 // # Usage
 //
@@ -157,7 +158,7 @@
 func (b *Balancer) Pick(service string, tried set.Set[string]) (*Target, bool) {
 	members := b.directory.View().Service(service)
 	if b.domain != "" {
-		return b.pickByCapacity(service, members, tried)
+		return b.pickByCapacity(service, members, Need{}, tried)
 	}
 	first := b.pickRandom(service, members, tried)
 	if first == nil {
--- a/balancer/capacity.go
+++ b/balancer/capacity.go
@@ -46,6 +46,11 @@
 	// upstreams get less than their success rate, since one failed call of
 	// several fails the whole request.
 	successExponent = 10
+	// safeTimeRatio is the ratio of the time that a call has to its mean time at an
+	// upstream from which on it nearly always ends in time. Below it, the weight falls
+	// with timeExponent as power.
+	safeTimeRatio = 4
+	timeExponent  = 8
 	// failureWeight is the weight of a new call in the moving average of the
 	// failure rate.
 	failureWeight = 0.05
@@ -93,35 +98,60 @@
 	s.failureRateAt.Store(time.Now().UnixNano())
 }
 
+// Need is the time in which a call must be answered, and the time that it takes.
+type Need struct {
+	// Left is the time left for the call and those that follow it in turn.
+	Left time.Duration
+	// Expected is the mean time that these take at the upstreams of the service. It is
+	// zero if it is not known; the time left is then ignored.
+	Expected time.Duration
+}
+
 // candidate is a node that may be selected.
 type candidate struct {
 	target Target
 	// concurrency is the number of calls that the upstream may run at a time.
 	concurrency float64
 	utilization float64
-	weight      float64
-	local       bool
+	// latency is the mean latency in seconds, or zero if it is not known.
+	latency float64
+	weight  float64
+	local   bool
+}
+
+// PickInTime selects a node like Pick. If nodes are selected by spare capacity, those at
+// which the call would probably not end in time are avoided.
+func (b *Balancer) PickInTime(service string, need Need, tried set.Set[string]) (*Target, bool) {
+	if b.domain == "" {
+		return b.Pick(service, tried)
+	}
+	return b.pickByCapacity(service, b.directory.View().Service(service), need, tried)
 }
 
 // pickByCapacity selects a node at random by weight. The weight follows the calls
 // per second for which the upstream has spare capacity and is reduced if the node
-// is in another failure domain or its upstream is cold or failing. A random
-// selection, unlike that of the best node, does not send the calls of all nodes to
-// the same place.
-func (b *Balancer) pickByCapacity(service string, members []*schema.Member, tried set.Set[string]) (*Target, bool) {
-	var buffer [64]candidate
+// is in another failure domain, if its upstream is cold or failing, or if the call would
+// probably not end in time there. A random selection, unlike that of the best node, does
+// not send the calls of all nodes to the same place.
+func (b *Balancer) pickByCapacity(service string, members []*schema.Member, need Need, tried set.Set[string]) (*Target, bool) {
+	var buffer [128]candidate
 	list := buffer[:0]
 	localActive, localLimit := 0.0, 0.0
+	latencySum, latencyCount := 0.0, 0.0
 	now := time.Now()
 	for _, m := range members {
 		if tried.Has(m.GetName()) || b.hasDeparted(service, m) {
 			continue
 		}
-		c := b.newCandidate(service, m, now)
+		c := b.newCandidate(m, now)
 		if c.local {
 			localActive += c.utilization * c.concurrency
 			localLimit += c.concurrency
 		}
+		if c.latency > 0 {
+			latencySum += c.latency
+			latencyCount++
+		}
 		list = append(list, c)
 	}
 	if len(list) == 0 {
@@ -131,20 +161,45 @@
 	if localLimit > 0 {
 		remoteWeight = min(max((localActive/localLimit-spilloverStart)/(spilloverEnd-spilloverStart), minSpillover), 1)
 	}
-	chosen := pickWeighted(list, remoteWeight)
+	meanLatency := defaultLatency.Seconds()
+	if latencyCount > 0 {
+		meanLatency = latencySum / latencyCount
+	}
+	for i := range list {
+		c := &list[i]
+		c.weight *= c.latencyFactor(meanLatency, need)
+		if !c.local {
+			c.weight *= remoteWeight
+		}
+	}
+	chosen := pickWeighted(list)
 	t := &Target{Member: chosen.target.Member, stats: chosen.target.stats, memory: b.memory}
 	t.stats.active.Add(1)
 	return t, true
 }
 
-// pickWeighted multiplies the weights of remote candidates by remoteWeight and
-// selects a candidate with a probability proportional to its weight.
-func pickWeighted(list []candidate, remoteWeight float64) *candidate {
+// latencyFactor returns the factor of the weight that follows from the latency of the
+// upstream, given the mean latency of all upstreams of the service.
+func (c *candidate) latencyFactor(meanLatency float64, need Need) float64 {
+	latency := c.latency
+	if latency == 0 {
+		latency = meanLatency
+	}
+	factor := 1 / math.Pow(latency, latencyExponent)
+	if need.Expected > 0 {
+		// Calls beyond the limit wait until others have ended.
+		expected := need.Expected.Seconds() * latency / meanLatency * max(1, c.utilization)
+		if ratio := max(need.Left.Seconds(), 0) / expected; ratio < safeTimeRatio {
+			factor *= math.Pow(ratio/safeTimeRatio, timeExponent)
+		}
+	}
+	return factor
+}
+
+// pickWeighted selects a candidate with a probability proportional to its weight.
+func pickWeighted(list []candidate) *candidate {
 	total := 0.0
 	for i := range list {
-		if !list[i].local {
-			list[i].weight *= remoteWeight
-		}
 		total += list[i].weight
 	}
 	point := rand.Float64() * total
@@ -153,42 +208,47 @@
 			return &list[i]
 		}
 	}
-	return &list[len(list)-1]
+	return &list[rand.IntN(len(list))]
 }
 
-// newCandidate computes the utilization and the weight of a node.
-func (b *Balancer) newCandidate(service string, m *schema.Member, now time.Time) candidate {
+// newCandidate computes the utilization of a node, and its weight without the factors for
+// latency and failure domain.
+func (b *Balancer) newCandidate(m *schema.Member, now time.Time) candidate {
 	s := b.statsOf(m)
 	c := candidate{target: Target{Member: m, stats: s}, local: m.GetDomain() == b.domain}
-	limit, rate, busy, latency, cold, failureRate := float64(defaultLimit), 0.0, 0.0, defaultLatency, false, 0.0
+	limit, rate, busy, cold, failureRate := float64(defaultLimit), 0.0, 0.0, false, 0.0
 	if l := s.load.Load(); l != nil {
 		e := l.endpoint
 		if e.GetLimit() > 0 {
 			limit = float64(e.GetLimit())
 		}
 		busy = float64(e.GetActive() + e.GetQueued())
-		if d := e.GetLatency().AsDuration(); d > 0 {
-			latency = d
-		}
+		c.latency = e.GetLatency().AsDuration().Seconds()
 		rate = e.GetRate()
 		cold = e.GetCold().AsDuration() > now.Sub(l.receivedAt)
 		failureRate = float64(e.GetFailing())
 	}
 	busy = max(busy, float64(s.active.Load()))
 	if rate > 0 {
+		latency := c.latency
+		if latency == 0 {
+			latency = defaultLatency.Seconds()
+		}
 		// By Little's law, this many requests are active at the stated rate.
-		limit = min(limit, rate*latency.Seconds())
+		limit = min(limit, rate*latency)
 	}
 	c.concurrency = max(limit, 1)
 	c.utilization = busy / c.concurrency
 	spare := max(maxUtilization-c.utilization, minSpareCapacity)
-	c.weight = limit / math.Pow(latency.Seconds(), latencyExponent) * spare * spare
+	c.weight = limit * spare * spare
 	if cold {
 		c.weight *= coldWeight
 	}
 	failureRate = max(failureRate, math.Float64frombits(s.failureRate.Load()))
-	failureRate *= math.Exp2(-float64(now.UnixNano()-s.failureRateAt.Load()) / float64(failureHalfLife))
-	c.weight *= max(math.Pow(1-failureRate, successExponent), minSuccessFactor)
+	if failureRate > 0 {
+		failureRate *= math.Exp2(-float64(now.UnixNano()-s.failureRateAt.Load()) / float64(failureHalfLife))
+		c.weight *= max(math.Pow(1-failureRate, successExponent), minSuccessFactor)
+	}
 	if now.UnixNano() < s.avoidUntil.Load() {
 		c.weight *= avoidedWeight
 	}
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -260,6 +260,16 @@
 	return (*p.costs.Load())[route]
 }
 
+// SlotTime returns the mean slot time of a request of a route at a service, or zero if it
+// is not known.
+func (p *Estimator) SlotTime(route, service string) time.Duration {
+	count := p.Counts(route)[service]
+	if count == 0 {
+		return 0
+	}
+	return time.Duration(float64(p.Costs(route)[service]) / count)
+}
+
 // KnownRoutes returns the routes whose costs are known.
 func (p *Estimator) KnownRoutes() []string { return slices.Collect(maps.Keys(*p.costs.Load())) }
 
--- a/forwarder/dispatcher.go
+++ b/forwarder/dispatcher.go
@@ -65,6 +65,7 @@
 	failover       bool
 	quarantine     Quarantine
 	reporter       Reporter
+	slotTime       func(route, service string) time.Duration
 }
 
 // DispatcherOptions holds the dependencies and settings of a Dispatcher.
@@ -93,6 +94,9 @@
 	// is an own one.
 	Quarantine Quarantine
 	Reporter   Reporter
+	// SlotTime returns the mean time that a request of a route takes at the upstreams
+	// of a service, or zero if it is not known. It may be nil.
+	SlotTime func(route, service string) time.Duration
 }
 
 // NewDispatcher returns a Dispatcher and creates the retry counters of all
@@ -104,7 +108,11 @@
 	if o.Quarantine == nil {
 		o.Quarantine = quarantiner.New()
 	}
+	if o.SlotTime == nil {
+		o.SlotTime = func(string, string) time.Duration { return 0 }
+	}
 	return &Dispatcher{
+		slotTime:       o.SlotTime,
 		quarantine:     o.Quarantine,
 		identity:       o.Identity,
 		picker:         o.Picker,
--- a/forwarder/entry.go
+++ b/forwarder/entry.go
@@ -62,6 +62,9 @@
 // ParentFinder finds the active request on whose behalf a call was made.
 type ParentFinder interface {
 	Infer(c tracker.CallAttributes) (tracker.Match, bool)
+	// Series returns the number of calls on a route that a request has still to make in
+	// turn, at least 1.
+	Series(r *tracker.Request, call string) int
 }
 
 // RetryAdviser determines when a refused request may be retried.
@@ -185,6 +188,7 @@
 	// A call is not refused because the node stops, since its parent's work would be lost.
 	call.Parent.Deadline, _ = e.Lifetime.Limit(call.Parent.Deadline, 0)
 	call.Nested = true
+	call.series, call.seriesDeadline = e.Parents.Series(parent, call.Route.Name), parent.Deadline
 	if match.Certain {
 		parent.Calls.Add(call.Route.Name)
 	} else {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -58,6 +58,8 @@
 // Picker selects the node for a call, leaving out the nodes already tried.
 type Picker interface {
 	Pick(service string, tried set.Set[string]) (*balancer.Target, bool)
+	// PickInTime selects a node at which the call probably ends in time.
+	PickInTime(service string, need balancer.Need, tried set.Set[string]) (*balancer.Target, bool)
 	// PickHashed selects the same node for the same key as long as it is available.
 	PickHashed(service string, key uint64, tried set.Set[string]) (*balancer.Target, bool)
 }
@@ -105,6 +107,25 @@
 	Retryable bool
 	// offered is the number of upstreams that may have seen the call.
 	offered uint32
+	// series is the number of calls of this kind that the request which makes them has
+	// still to make in turn, including this one. It is zero for requests of callers.
+	series int
+	// seriesDeadline is the time by which they must all end.
+	seriesDeadline time.Time
+}
+
+// need returns the time that the call has and takes at the upstreams of its service.
+func (c *Call) need(slotTime time.Duration) balancer.Need {
+	left := time.Until(c.Parent.Deadline)
+	if c.series > 1 {
+		if all := time.Until(c.seriesDeadline); all < left*time.Duration(c.series) {
+			return balancer.Need{Left: all, Expected: slotTime * time.Duration(c.series)}
+		}
+	}
+	if objective := c.Route.TargetLatency; c.series == 0 && objective > 0 {
+		left = min(left, objective)
+	}
+	return balancer.Need{Left: left, Expected: slotTime}
 }
 
 // mayOffer reports whether the route allows the call at one more upstream. Nested calls
--- a/forwarder/isolation.go
+++ b/forwarder/isolation.go
@@ -73,7 +73,7 @@
 func (d *Dispatcher) pick(call *Call, tried set.Set[string]) (*balancer.Target, error) {
 	missing := &refuser.Error{Code: refuser.EndpointMissing}
 	if d.quarantine.Empty() {
-		target, ok := d.picker.Pick(call.Service, tried)
+		target, ok := d.pickInTime(call, tried)
 		if !ok {
 			return nil, missing
 		}
@@ -84,19 +84,23 @@
 	if treatment == quarantiner.Held {
 		return nil, heldError(d.quarantine, f, left)
 	}
-	pick := d.picker.Pick
+	pick := d.pickInTime
 	if treatment == quarantiner.Isolated {
-		pick = func(service string, tried set.Set[string]) (*balancer.Target, bool) {
-			return d.picker.PickHashed(service, uint64(f), tried)
+		pick = func(call *Call, tried set.Set[string]) (*balancer.Target, bool) {
+			return d.picker.PickHashed(call.Service, uint64(f), tried)
 		}
 	}
-	target, ok := pick(call.Service, tried)
+	target, ok := pick(call, tried)
 	if !ok {
 		return nil, missing
 	}
 	return target, nil
 }
 
+func (d *Dispatcher) pickInTime(call *Call, tried set.Set[string]) (*balancer.Target, bool) {
+	return d.picker.PickInTime(call.Service, call.need(d.slotTime(call.Route.Name, call.Service)), tried)
+}
+
 // fingerprint returns the fingerprint of a call.
 func (c *Call) fingerprint() quarantiner.Fingerprint {
 	return newQuarantineRequest(c.Nested, c.Parent.Workspace, c.Origin, c.Method, c.Host, c.URL, c.Body).Fingerprint()
--- a/naive/naive.go
+++ b/naive/naive.go
@@ -92,6 +92,11 @@
 	return p.balancer.PickIndex(service, p.next.Add(1))
 }
 
+// PickInTime returns the next node of the service, whatever the time that a call needs.
+func (p *Picker) PickInTime(service string, _ balancer.Need, tried set.Set[string]) (*balancer.Target, bool) {
+	return p.Pick(service, tried)
+}
+
 // PickHashed returns the next node of the service, whatever the key.
 func (p *Picker) PickHashed(service string, _ uint64, tried set.Set[string]) (*balancer.Target, bool) {
 	return p.Pick(service, tried)
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -21,6 +21,7 @@
 import (
 	"crypto/rand"
 	"maps"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,6 +75,13 @@
 	return maps.Clone(c.counts)
 }
 
+// count returns the number of calls on a route.
+func (c *Calls) count(route string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.counts[route]
+}
+
 // Budget is the number of extra attempts that a request may still make.
 type Budget struct {
 	left atomic.Int64
@@ -169,6 +177,13 @@
 	}
 }
 
+// concurrent reports whether more than one call is active.
+func (t *CallTimer) concurrent() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.active > 1
+}
+
 // idle returns whether no call is active, and when the last one ended.
 func (t *CallTimer) idle() (bool, time.Time) {
 	t.mu.Lock()
@@ -211,5 +226,15 @@
 	return r.(*Request), true
 }
 
+// Series returns the number of calls on a route that a request has still to make in turn,
+// at least 1, by the mean number that requests of its route make.
+func (t *Tracker) Series(r *Request, call string) int {
+	if t.Fanout == nil || r.CallTimer.concurrent() {
+		return 1
+	}
+	made := r.Calls.count(call) + r.InferredCalls.count(call)
+	return max(1, int(math.Round(t.Fanout(r.Route, call)))-made)
+}
+
 // Close removes a request. Its ticket is invalid from then on.
 func (t *Tracker) Close(ticket string) { t.active.Delete(ticket) }
