Make fewer calls to the platform at a start

Now reads accept data that are up to 3 s old where a later call delivers what they lack: the first read of the configuration (a watch follows), the directory at a restart, and the held requests (read once more 3 s later). A node that is in the directory already writes nothing. A new one registers and reads one page, the same for all; nodes on it pass on the beacons of those that start at the same time, and a list 3 s later completes the table. Two nodes of each failure domain watch the latest data, the others recent data; one that reaches less than half of the known nodes watches the latest.

TestCallsOfStart: a restart makes no write and no read of the latest data. TestWatchFreshness: 11 of 196 nodes watch the latest data.

--- a/attacher/archivist.go
+++ b/attacher/archivist.go
@@ -34,10 +34,17 @@
 // run loads the records and then saves new ones until the context ends.
 func (a *archivist) run(ctx context.Context) {
 	a.load(ctx)
+	// Records that were written just before are in the data by then.
+	again := time.NewTimer(maxStaleness)
+	defer again.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-again.C:
+			if err := a.loadOnce(ctx); err != nil {
+				again.Reset(maxStaleness)
+			}
 		case h := <-a.quarantiner.Holds():
 			if s := a.quarantiner.Suspicion(h.Fingerprint); s != nil && (h.Local || a.isKeeper(s)) {
 				a.reporter.Notice("request_held", "request_hash", recordName(s), "crashes", len(s.GetCrashes()), "alone", len(s.GetAlone()), "local", h.Local)
@@ -81,18 +88,22 @@
 // load reads the records, with retries, and removes those that are too old.
 func (a *archivist) load(ctx context.Context) {
 	backoff := minBackoff
-	for ctx.Err() == nil {
-		records, err := a.archive.Load(ctx)
-		if err == nil {
-			a.apply(ctx, records)
-			return
-		}
-		a.reporter.Notice("holds_not_loaded", "err", err)
+	for ctx.Err() == nil && a.loadOnce(ctx) != nil {
 		sleep(ctx, backoff/2+rand.N(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
+func (a *archivist) loadOnce(ctx context.Context) error {
+	records, err := a.archive.Load(ctx)
+	if err != nil {
+		a.reporter.Notice("holds_not_loaded", "err", err)
+		return err
+	}
+	a.apply(ctx, records)
+	return nil
+}
+
 func (a *archivist) apply(ctx context.Context, records map[string][]byte) {
 	for name, data := range records {
 		s := &schema.Suspicion{}
--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -23,15 +23,29 @@
 	"quetzalhub/supervisor"
 )
 
+// Freshness states how old the data of a read may be.
+type Freshness int
+
+const (
+	// Latest asks for the latest data.
+	Latest Freshness = iota
+	// Recent accepts data that are up to maxStaleness old, which costs the platform
+	// less.
+	Recent
+)
+
+// maxStaleness is the age that recent data may have.
+const maxStaleness = 3 * time.Second
+
 // Source provides the configuration, encoded as package resolver compiles it.
 type Source interface {
 	// Read returns the configuration, or storer.ErrMissing.
-	Read(ctx context.Context) (storer.Object, error)
+	Read(ctx context.Context, f Freshness) (storer.Object, error)
 	// Watch waits for a change after a version. Without a change it returns
 	// storer.ErrUnchanged and the version to continue from. It returns
 	// storer.ErrMissing if the changes since that version are no longer
 	// available.
-	Watch(ctx context.Context, known storer.Version, wait time.Duration) (storer.Object, error)
+	Watch(ctx context.Context, known storer.Version, wait time.Duration, f Freshness) (storer.Object, error)
 }
 
 // Entry is the directory entry of a node.
@@ -45,7 +59,10 @@
 type Directory interface {
 	Register(ctx context.Context, e Entry) error
 	// List returns the entries of all nodes and the number of those that are unreadable.
-	List(ctx context.Context) (entries []Entry, unreadable int, err error)
+	List(ctx context.Context, f Freshness) (entries []Entry, unreadable int, err error)
+	// Sample returns the latest entries of some nodes, the same for all callers. complete
+	// is true if these are all nodes.
+	Sample(ctx context.Context) (entries []Entry, complete bool, err error)
 	Deregister(ctx context.Context, name string) error
 	// Restored receives the era of the platform's data each time the platform has come
 	// back from an older copy, which may lack entries that it had acknowledged.
@@ -55,6 +72,7 @@
 // Archive keeps the records of held requests beyond a restart of all nodes.
 type Archive interface {
 	Save(ctx context.Context, name string, record []byte) error
+	// Load returns records that may be up to maxStaleness old.
 	Load(ctx context.Context) (map[string][]byte, error)
 	Remove(ctx context.Context, name string) error
 }
--- a/attacher/config_watcher.go
+++ b/attacher/config_watcher.go
@@ -9,15 +9,16 @@
 
 	"quetzalhub/caller"
 	"quetzalhub/confirmer"
+	"quetzalhub/gossiper"
 	"quetzalhub/reporter"
 	"quetzalhub/schema"
 	"quetzalhub/storer"
 )
 
 const (
-	// watchStartsPerSecond is the number of watches that all nodes together
-	// start per second. A change ends a watch at once, but a platform that lost
-	// its history never ends the watches that wait on it. The next node that
+	// watchStartsPerSecond is the number of watches of the latest data that all nodes
+	// together start per second. A change ends a watch at once, but a platform that
+	// lost its history never ends the watches that wait on it. The next node that
 	// starts a watch detects the loss, reads the configuration again and
 	// notifies the other nodes.
 	watchStartsPerSecond = 4
@@ -32,6 +33,9 @@
 	// platform still has the history shows only when a watch ends, and a platform that
 	// comes back from a copy accepts watches from revisions that it gives out again.
 	checkWait = time.Millisecond
+	// minReach is the share of the known nodes that a node must reach to rely on those
+	// that watch the latest data.
+	minReach = 0.5
 	// peerFetchDelay is the time the platform has to deliver a change that
 	// another node already has, before the node fetches it from that node.
 	peerFetchDelay = 80 * time.Millisecond
@@ -43,8 +47,8 @@
 	confirmer *confirmer.Confirmer
 	reporter  *reporter.Reporter
 	caller    *caller.Caller
-	// nodes returns the number of live nodes.
-	nodes        func() int
+	view         func() *gossiper.View
+	name         string
 	platformLost bool
 	// behindSince is when another node was first seen with a newer
 	// configuration, in nanoseconds after started; zero if none has one.
@@ -52,8 +56,8 @@
 	started     time.Time
 }
 
-func newConfigWatcher(s Source, c *confirmer.Confirmer, r *reporter.Reporter, p *caller.Caller, nodes func() int) *configWatcher {
-	w := &configWatcher{source: s, confirmer: c, reporter: r, caller: p, nodes: nodes, started: time.Now()}
+func newConfigWatcher(s Source, c *confirmer.Confirmer, r *reporter.Reporter, p *caller.Caller, name string, view func() *gossiper.View) *configWatcher {
+	w := &configWatcher{source: s, confirmer: c, reporter: r, caller: p, name: name, view: view, started: time.Now()}
 	c.OnChange(w.onConfigChange)
 	return w
 }
@@ -73,16 +77,18 @@
 	backoff := minBackoff
 	var known storer.Version
 	failed := false
+	// A watch that follows the first read delivers what that may lack.
+	freshness := Recent
 	for ctx.Err() == nil {
 		var object storer.Object
 		var err error
 		switch {
 		case known == storer.Absent:
-			object, err = w.source.Read(ctx)
+			object, err = w.source.Read(ctx, freshness)
 		case failed:
-			object, err = w.source.Watch(ctx, known, checkWait)
+			object, err = w.source.Watch(ctx, known, checkWait, Latest)
 		default:
-			object, err = w.source.Watch(ctx, known, w.nextWatchWait())
+			object, err = w.source.Watch(ctx, known, w.nextWatchWait(), w.watchFreshness())
 		}
 		failed = err != nil && !errors.Is(err, storer.ErrUnchanged)
 		switch {
@@ -93,7 +99,7 @@
 			if known != storer.Absent {
 				backoff = minBackoff
 			}
-			known = object.Version
+			known, freshness = object.Version, Latest
 			w.reportPlatformRegained(known)
 			continue
 		case errors.Is(err, storer.ErrUnchanged):
@@ -124,11 +130,29 @@
 	}
 }
 
+// watchFreshness returns the freshness of this node's next watch. A few nodes of each failure
+// domain watch the latest data, and the others learn of a change from them at the latest. A
+// node that reaches only a part of the fleet may not.
+func (w *configWatcher) watchFreshness() Freshness {
+	view := w.view()
+	if _, watcher := view.WatcherIndex(w.name); watcher || view.Reach() < minReach {
+		return Latest
+	}
+	return Recent
+}
+
 // nextWatchWait returns a random wait for the next watch. A start of the fleet, a change or
 // an outage ends the watches of all nodes together, so the waits are drawn from the whole
 // interval: if they all had about its length, no node would start a watch for most of it.
 func (w *configWatcher) nextWatchWait() time.Duration {
-	mean := time.Duration(w.nodes()) * time.Second / watchStartsPerSecond
+	if w.watchFreshness() == Recent {
+		return checkWait + rand.N(maxWatchInterval)
+	}
+	view, watchers := w.view(), 0
+	for _, domain := range view.Domains() {
+		watchers += len(view.Watchers(domain))
+	}
+	mean := time.Duration(watchers) * time.Second / watchStartsPerSecond
 	return checkWait + rand.N(min(max(2*mean, minWatchInterval), maxWatchInterval))
 }
 
--- a/attacher/config_watcher_test.go
+++ b/attacher/config_watcher_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"maps"
 	"strconv"
 	"sync"
 	"testing"
@@ -17,6 +19,7 @@
 	"quetzalhub/beaconer"
 	"quetzalhub/caller"
 	"quetzalhub/confirmer"
+	"quetzalhub/gossiper"
 	"quetzalhub/reporter"
 	"quetzalhub/schema"
 	"quetzalhub/storer"
@@ -37,6 +40,8 @@
 	// then is accepted, but finds only at its end that it missed changes.
 	restored bool
 	reads    int
+	// behindUntil is the time until which recent data are older than all changes.
+	behindUntil time.Time
 }
 
 func (s *fakeSource) object() (storer.Object, error) {
@@ -47,7 +52,7 @@
 	return storer.Object{Data: raw, Version: storer.Version(strconv.FormatUint(s.version, 10))}, err
 }
 
-func (s *fakeSource) Read(context.Context) (storer.Object, error) {
+func (s *fakeSource) Read(context.Context, Freshness) (storer.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
@@ -58,13 +63,23 @@
 	return s.object()
 }
 
-func (s *fakeSource) Watch(ctx context.Context, known storer.Version, wait time.Duration) (storer.Object, error) {
+func (s *fakeSource) Watch(ctx context.Context, known storer.Version, wait time.Duration, f Freshness) (storer.Object, error) {
 	version, err := strconv.ParseUint(string(known), 10, 64)
 	if err != nil {
 		return storer.Object{}, err
 	}
 	until := time.Now().Add(wait)
 	for first := true; ; first = false {
+		s.mu.Lock()
+		behind := f == Recent && time.Now().Before(s.behindUntil)
+		s.mu.Unlock()
+		if behind && time.Now().After(until) {
+			return storer.Object{Version: known}, storer.ErrUnchanged
+		}
+		if behind {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
 		if object, err, ended := s.watchResult(version, until, first); ended {
 			return object, err
 		}
@@ -120,6 +135,47 @@
 func (noopBeacons) Profiles() []*schema.Profile     { return nil }
 func (noopBeacons) Version() uint64                 { return 0 }
 
+// viewOf returns a view of nodes in six failure domains. The first one is the only node of
+// its domain.
+func viewOf(nodes int) *gossiper.View {
+	members := map[string]*schema.Member{}
+	for i := range nodes {
+		domain := "a"
+		if i > 0 {
+			domain = fmt.Sprint("b", i%5)
+		}
+		name := fmt.Sprint("node-", i+1)
+		members[name] = &schema.Member{Name: name, Domain: domain, Status: schema.Status_STATUS_ALIVE}
+	}
+	return gossiper.NewView(members)
+}
+
+// TestWatchFreshness guards against a node that relies on others for changes of the
+// configuration while it does not reach them, and against a large fleet in which all nodes
+// watch the latest data: each change would cost the platform a call of each node.
+func TestWatchFreshness(t *testing.T) {
+	g := NewWithT(t)
+	full := viewOf(196)
+	latest := 0
+	for i := range 196 {
+		w := &configWatcher{name: fmt.Sprint("node-", i+1), view: func() *gossiper.View { return full }}
+		if w.watchFreshness() == Latest {
+			latest++
+		}
+	}
+	g.Expect(latest).To(Equal(11), "two nodes of each of five domains, and the only one of the sixth")
+	alone := maps.Clone(full.Members)
+	for name, m := range alone {
+		if name != "node-77" {
+			failed := proto.CloneOf(m)
+			failed.Status = schema.Status_STATUS_FAILED
+			alone[name] = failed
+		}
+	}
+	w := &configWatcher{name: "node-77", view: func() *gossiper.View { return gossiper.NewView(alone) }}
+	g.Expect(w.watchFreshness()).To(Equal(Latest))
+}
+
 // TestConfigWatcher guards against a node that stays on an old configuration, or
 // reads the platform too often, after an outage or a loss of the platform's history.
 // It makes a change at the fake platform and checks the version that a single node
@@ -163,7 +219,7 @@
 				cl := caller.New("node-1", state, nil, nil)
 				b := beaconer.New(&schema.Member{Name: "node-1"}, noopBeacons{}, noopBeacons{}, time.Second)
 				cl.Attach(&beaconFleet{b})
-				w := newConfigWatcher(s, state, reporter.New(io.Discard, "node-1", log.InfoLevel), cl, func() int { return nodes })
+				w := newConfigWatcher(s, state, reporter.New(io.Discard, "node-1", log.InfoLevel), cl, "node-1", func() *gossiper.View { return viewOf(nodes) })
 				ctx, cancel := context.WithCancel(context.Background())
 				var group sync.WaitGroup
 				group.Go(func() { w.run(ctx) })
@@ -213,22 +269,24 @@
 				var states []*confirmer.Confirmer
 				began := time.Now()
 				// A node that starts does not know the others at first.
-				known := func() int {
+				full := viewOf(nodes)
+				known := func() *gossiper.View {
 					if time.Since(began) < 100*time.Millisecond {
-						return 1
+						return viewOf(1)
 					}
-					return nodes
+					return full
 				}
 				ctx, cancel := context.WithCancel(context.Background())
 				var group sync.WaitGroup
 				defer group.Wait()
 				defer cancel()
-				for range nodes {
+				for i := range nodes {
+					name := fmt.Sprint("node-", i+1)
 					state := confirmer.New("a", configMaxAge)
 					states = append(states, state)
-					cl := caller.New("node-1", state, nil, nil)
-					cl.Attach(&beaconFleet{beaconer.New(&schema.Member{Name: "node-1"}, noopBeacons{}, noopBeacons{}, time.Second)})
-					w := newConfigWatcher(s, state, reporter.New(io.Discard, "node-1", log.InfoLevel), cl, known)
+					cl := caller.New(name, state, nil, nil)
+					cl.Attach(&beaconFleet{beaconer.New(&schema.Member{Name: name}, noopBeacons{}, noopBeacons{}, time.Second)})
+					w := newConfigWatcher(s, state, reporter.New(io.Discard, "node-1", log.InfoLevel), cl, name, known)
 					group.Go(func() { w.run(ctx) })
 				}
 				newest := func() uint64 {
@@ -243,7 +301,9 @@
 				time.Sleep(c.age)
 				s.set(func(s *fakeSource) { s.down = false })
 				time.Sleep(2 * time.Second)
-				s.set(func(s *fakeSource) { s.version, s.oldestVersion = 9, 9 })
+				s.set(func(s *fakeSource) {
+					s.version, s.oldestVersion, s.behindUntil = 9, 9, time.Now().Add(2*bound)
+				})
 				time.Sleep(bound)
 				g.Expect(newest()).To(Equal(uint64(9)))
 			})
--- a/attacher/module.go
+++ b/attacher/module.go
@@ -16,6 +16,7 @@
 	"quetzalhub/estimator"
 	"quetzalhub/fencer"
 	"quetzalhub/forwarder"
+	"quetzalhub/gossiper"
 	"quetzalhub/gossiper/udp"
 	"quetzalhub/quarantiner"
 	"quetzalhub/recorder"
@@ -201,7 +202,7 @@
 		Incarnation: rand.Uint64(), Sequence: 1,
 	}
 	directory := &lateDirectory{}
-	f := &fleet{configWatcher: newConfigWatcher(p.Source, c, r, cl, func() int { return directory.View().LiveCount() })}
+	f := &fleet{configWatcher: newConfigWatcher(p.Source, c, r, cl, node.GetName(), func() *gossiper.View { return directory.View() })}
 	f.balancer = balancer.New(directory, node.GetRegion(), balancer.ByCapacity(node.GetDomain()), balancer.WithMemory(w))
 	f.allocator = allocator.New(directory, c, cl, quotaAllowance(s))
 	f.estimator = estimator.New(s.GetUpstream().GetService())
--- a/attacher/registrar.go
+++ b/attacher/registrar.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"quetzalhub/beaconer"
@@ -31,15 +32,24 @@
 // run keeps this node registered until the context ends. An entry lasts until the
 // platform comes back from a copy that is older than it.
 func (r *registrar) run(ctx context.Context) {
-	r.enlist(ctx)
+	again := time.NewTimer(maxStaleness)
+	defer again.Stop()
+	if r.isRegistered(ctx) {
+		again.Stop()
+	} else {
+		r.enlist(ctx, r.introduce)
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-again.C:
+			// Nodes that registered at the same time are in the list by now.
+			r.enlist(ctx, r.list)
 		case era := <-r.directory.Restored():
 			r.reporter.Notice("platform_restored", "era", era)
 			sleep(ctx, r.enlistDelay())
-			r.enlist(ctx)
+			r.enlist(ctx, r.register)
 			r.onRestored()
 		}
 	}
@@ -52,12 +62,11 @@
 	return rand.N(min(nodes*time.Second/enlistsPerSecond, maxEnlistDelay) + 1)
 }
 
-// enlist registers this node and then lists the others, with retries. Of two nodes, the
-// one that registers later finds the other in its list.
-func (r *registrar) enlist(ctx context.Context) {
+// enlist takes a step of the registration, with retries.
+func (r *registrar) enlist(ctx context.Context, step func(context.Context) error) {
 	backoff := minBackoff
 	for ctx.Err() == nil {
-		err := r.register(ctx)
+		err := step(ctx)
 		if err == nil {
 			return
 		}
@@ -67,17 +76,68 @@
 	}
 }
 
-func (r *registrar) register(ctx context.Context) error {
+// isRegistered reports whether this node is in the directory since an earlier start, with
+// the same address. It passes on the listed nodes in any case.
+func (r *registrar) isRegistered(ctx context.Context) bool {
+	entries, unreadable, err := r.directory.List(ctx, Recent)
+	if err != nil {
+		// The platform may be away, or have no directory yet.
+		r.reporter.Notice("not_listed", "err", err)
+		return false
+	}
+	r.add(entries)
+	if !slices.Contains(entries, r.self) {
+		return false
+	}
+	r.listed(entries, unreadable)
+	return true
+}
+
+// introduce registers this node and meets the nodes that all others meet too. They pass
+// on the beacons of those that register at the same time.
+func (r *registrar) introduce(ctx context.Context) error {
 	if err := r.directory.Register(ctx, r.self); err != nil {
 		return err
 	}
-	entries, unreadable, err := r.directory.List(ctx)
-	for _, entry := range entries {
-		r.beaconer.AddNode(entry.Name, entry.Address)
+	entries, complete, err := r.directory.Sample(ctx)
+	r.add(entries)
+	if complete {
+		r.beaconer.Listed()
 	}
+	return err
+}
+
+// list adds all nodes of the directory.
+func (r *registrar) list(ctx context.Context) error {
+	entries, unreadable, err := r.directory.List(ctx, Recent)
+	r.add(entries)
 	if err == nil {
-		r.beaconer.Listed()
-		r.reporter.Notice("enlisted", "nodes", len(entries), "unreadable", unreadable)
+		r.listed(entries, unreadable)
 	}
 	return err
 }
+
+// register registers this node and then lists the others. Of two nodes, the one that
+// registers later finds the other in its list.
+func (r *registrar) register(ctx context.Context) error {
+	if err := r.directory.Register(ctx, r.self); err != nil {
+		return err
+	}
+	entries, unreadable, err := r.directory.List(ctx, Latest)
+	r.add(entries)
+	if err == nil {
+		r.listed(entries, unreadable)
+	}
+	return err
+}
+
+func (r *registrar) add(entries []Entry) {
+	for _, entry := range entries {
+		r.beaconer.AddNode(entry.Name, entry.Address)
+	}
+}
+
+func (r *registrar) listed(entries []Entry, unreadable int) {
+	r.beaconer.Listed()
+	r.reporter.Notice("enlisted", "nodes", len(entries), "unreadable", unreadable)
+}
--- a/attacher/registrar_test.go
+++ b/attacher/registrar_test.go
@@ -19,10 +19,12 @@
 
 // fakeDirectory is a directory that can lose its entries.
 type fakeDirectory struct {
-	mu       sync.Mutex
-	entries  map[string]Entry
-	down     bool
-	writes   int
+	mu      sync.Mutex
+	entries map[string]Entry
+	down    bool
+	writes  int
+	// latest counts the reads of the latest data.
+	latest   int
 	restored chan uint64
 }
 
@@ -37,9 +39,17 @@
 	return nil
 }
 
-func (d *fakeDirectory) List(context.Context) ([]Entry, int, error) {
+func (d *fakeDirectory) Sample(ctx context.Context) ([]Entry, bool, error) {
+	entries, _, err := d.List(ctx, Latest)
+	return entries, true, err
+}
+
+func (d *fakeDirectory) List(_ context.Context, f Freshness) ([]Entry, int, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if f == Latest {
+		d.latest++
+	}
 	var entries []Entry
 	for _, e := range d.entries {
 		entries = append(entries, e)
@@ -137,3 +147,46 @@
 		})
 	}
 }
+
+// TestCallsOfStart guards against starts of nodes that cost the platform many calls: after a
+// loss of power all nodes of a large fleet start at once, and each page of the directory is
+// a call. A node that has started before makes no call for the latest data and no write.
+func TestCallsOfStart(t *testing.T) {
+	self, other := Entry{"node-1", "10.0.0.1:7000"}, Entry{"node-2", "10.0.0.2:7000"}
+	cases := map[string]struct {
+		entries        []Entry
+		writes, latest int
+	}{
+		"first start":   {[]Entry{other}, 1, 1},
+		"restart":       {[]Entry{self, other}, 0, 0},
+		"other address": {[]Entry{{"node-1", "10.0.0.7:7000"}, other}, 1, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				d := &fakeDirectory{entries: map[string]Entry{}, restored: make(chan uint64, 1)}
+				for _, e := range c.entries {
+					d.entries[e.Name] = e
+				}
+				transport := &recordingTransport{received: map[string]bool{}}
+				b := beaconer.New(&schema.Member{Name: self.Name, Beacon: self.Address}, transport, noopBeacons{}, time.Second)
+				r := &registrar{d, b, reporter.New(io.Discard, self.Name, log.InfoLevel), self, func() {}}
+				ctx, cancel := context.WithCancel(context.Background())
+				var group sync.WaitGroup
+				group.Go(func() { r.run(ctx) })
+				group.Go(func() { b.Run(ctx) })
+				defer group.Wait()
+				defer cancel()
+				time.Sleep(time.Minute)
+				d.set(func(d *fakeDirectory) {
+					g.Expect(d.entries).To(HaveKeyWithValue(self.Name, self))
+					g.Expect(d.writes).To(Equal(c.writes))
+					g.Expect(d.latest).To(Equal(c.latest))
+				})
+				g.Expect(transport.reached(other.Address)).To(BeTrue())
+				g.Expect(b.View().Known).To(Equal(2))
+			})
+		})
+	}
+}
