Share the retry budget of a service among all nodes

Each node had an equal part of half of the slack, and a bucket of at least one retry for each service: at 196 nodes 196 retries at once, of 213 allowed in a window, and 1,200 at 1,200 nodes.

Now the slack is in a pool with two holders, like pooled rates; a node draws the tokens for a retry from it, all or none. What a node earns by its own requests expires with the window instead of being kept.

What remains is a node that restarts, reports once and is then cut off: others have its share.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -23,6 +23,8 @@
 // a holder starts with what may be admitted in addition to earlier requests that it does
 // not know of.
 //
+// Retry budgets of services are kept in the same way, in reserves only.
+//
 // # Usage
 //
 //	d := allocator.New(fleet, state, lender, allocator.Allowance{Window: 5 * time.Second, Overage: 0.1, Slack: 20})
@@ -55,7 +57,7 @@
 	// evenWeight is the weight of an equal division in a node's share. It is
 	// above zero because a node counts few arrivals, so that their average is
 	// inexact.
-	evenWeight = 0.05
+	evenWeight = 0.08
 	// minBucketSize is the mean size in tokens that the buckets of a workspace must
 	// have at the nodes for its rate to be divided. Smaller buckets would refuse single
 	// requests of workspaces with low rates.
@@ -151,7 +153,9 @@
 	lender    Lender
 	allowance Allowance
 
-	started   time.Time
+	// retries is the shared retry budget of each service.
+	retries Bucket
+	started time.Time
 
 	mu       sync.Mutex
 	accounts map[string]*account
@@ -160,14 +164,29 @@
 	// unreachableUntil holds, by name, the holders that did not answer and the time
 	// until which they are not asked again.
 	unreachableUntil map[string]time.Time
+	// drawnUntil holds, by service, the time until which the shared retry budget is
+	// assumed to be spent.
+	drawnUntil map[string]time.Time
 }
 
+// Option configures an Allocator.
+type Option func(*Allocator)
+
+// WithRetries makes the allocator keep a retry budget for each service, from which Draw
+// takes tokens.
+func WithRetries(b Bucket) Option { return func(d *Allocator) { d.retries = b } }
+
 // New returns an allocator.
-func New(f Fleet, s State, l Lender, a Allowance) *Allocator {
-	return &Allocator{
+func New(f Fleet, s State, l Lender, a Allowance, opts ...Option) *Allocator {
+	d := &Allocator{
 		fleet: f, state: s, lender: l, allowance: a, started: time.Now(),
 		accounts: map[string]*account{}, reserves: map[string]*reserve{}, unreachableUntil: map[string]time.Time{},
+		drawnUntil: map[string]time.Time{},
+	}
+	for _, opt := range opts {
+		opt(d)
 	}
+	return d
 }
 
 // Admit takes a token of a workspace. If none is available at this node or in the
--- a/allocator/allocator_test.go
+++ b/allocator/allocator_test.go
@@ -28,6 +28,8 @@
 	view     *gossiper.View
 	// interval is the time between two exchanges of usage reports.
 	interval time.Duration
+	// retries is the retry budget of each service.
+	retries allocator.Bucket
 }
 
 type node struct {
@@ -69,7 +71,13 @@
 func (f *fleet) restart(i int) {
 	n := f.nodes[i]
 	n.usages.Store(&map[string][]*schema.Usage{})
-	n.Allocator = allocator.New(n, f, n, allowance)
+	n.Allocator = allocator.New(n, f, n, allowance, allocator.WithRetries(f.retries))
+}
+
+func (f *fleet) restartAll() {
+	for i := range f.nodes {
+		f.restart(i)
+	}
 }
 
 func (f *fleet) Snapshot() *resolver.Snapshot      { return f.snapshot }
--- a/allocator/pooled_test.go
+++ b/allocator/pooled_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"quetzalhub/allocator"
 	"quetzalhub/gossiper"
 	"quetzalhub/schema"
 )
@@ -143,3 +144,58 @@
 		})
 	}
 }
+
+// TestRetriesAreShared guards against retry budgets that grow with the number of nodes, and
+// against budgets that lie idle at nodes which send no call that fails. Load pattern: a few
+// of the nodes ask for more retries than the budget, from the start, after a restart of
+// all and while a part of the nodes is alone.
+func TestRetriesAreShared(t *testing.T) {
+	const window = 10 * time.Second
+	retries := allocator.Bucket{Rate: 6, Size: 60, Initial: 20}
+	bound := int(retries.Rate*window.Seconds() + retries.Size + retries.Initial)
+	cases := map[string]struct {
+		nodes, asking int
+		change        func(f *fleet)
+		// least is the number of retries that must be possible in 20 s.
+		least int
+	}{
+		"16 nodes":                {16, 4, nil, 110},
+		"196 nodes":               {196, 18, nil, 110},
+		"1200 nodes":              {1200, 18, nil, 110},
+		"196 nodes, all ask":      {196, 196, nil, 110},
+		"196 that restart":        {196, 196, func(f *fleet) { f.restartAll() }, 100},
+		"196, a third of it cut":  {196, 196, func(f *fleet) { f.isolate(65) }, 70},
+		"1200, a third of it cut": {1200, 400, func(f *fleet) { f.isolate(400) }, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				f := newFleet(t, c.nodes, 20, 20)
+				f.retries = retries
+				f.restartAll()
+				time.Sleep(5 * time.Second)
+				rng := rand.New(rand.NewPCG(1, 1))
+				var drawn []time.Time
+				total, most := 0, 0
+				for step := range 2000 {
+					if step == 1000 && c.change != nil {
+						c.change(f)
+					}
+					if f.nodes[rng.IntN(c.asking)].Draw(t.Context(), "registry", 1) {
+						drawn = append(drawn, time.Now())
+						total++
+					}
+					for len(drawn) > 0 && time.Since(drawn[0]) > window {
+						drawn = drawn[1:]
+					}
+					most = max(most, len(drawn))
+					time.Sleep(10 * time.Millisecond)
+				}
+				t.Logf("%s: %d retries in 20 s, at most %d in a window, bound %d", name, total, most, bound)
+				g.Expect(most).To(BeNumerically("<=", bound))
+				g.Expect(total).To(BeNumerically(">=", c.least))
+			})
+		})
+	}
+}
--- a/attacher/config_watcher.go
+++ b/attacher/config_watcher.go
@@ -43,10 +43,10 @@
 
 // configWatcher keeps the node's configuration up to date.
 type configWatcher struct {
-	source    Source
-	confirmer *confirmer.Confirmer
-	reporter  *reporter.Reporter
-	caller    *caller.Caller
+	source       Source
+	confirmer    *confirmer.Confirmer
+	reporter     *reporter.Reporter
+	caller       *caller.Caller
 	view         func() *gossiper.View
 	name         string
 	platformLost bool
--- a/attacher/module.go
+++ b/attacher/module.go
@@ -204,7 +204,7 @@
 	directory := &lateDirectory{}
 	f := &fleet{configWatcher: newConfigWatcher(p.Source, c, r, cl, node.GetName(), func() *gossiper.View { return directory.View() })}
 	f.balancer = balancer.New(directory, node.GetRegion(), balancer.ByCapacity(node.GetDomain()), balancer.WithMemory(w))
-	f.allocator = allocator.New(directory, c, cl, quotaAllowance(s))
+	f.allocator = allocator.New(directory, c, cl, quotaAllowance(s), allocator.WithRetries(sharedRetries(s)))
 	f.estimator = estimator.New(s.GetUpstream().GetService())
 	f.shedder = shedder.New(directory, f.estimator)
 	f.beaconer = beaconer.New(self, t, &beaconSource{st, c, f.allocator, f.estimator, f.shedder, w, q}, beaconInterval, f.configWatcher,
@@ -227,6 +227,12 @@
 	return throttler.Budget{Ratio: b.GetRatio(), Slack: b.GetSlack(), Window: b.GetSpan().AsDuration()}
 }
 
+// sharedRetries returns the token bucket of the retry budget that all nodes share.
+func sharedRetries(s *schema.Settings) allocator.Bucket {
+	rate, size, initial := retryBudget(s).Shared()
+	return allocator.Bucket{Rate: rate, Size: size, Initial: initial}
+}
+
 // beaconListener passes the load data in beacons of other nodes to the balancer,
 // the estimator and the shedder, and the remarks to the witness.
 type beaconListener struct {
@@ -337,7 +343,7 @@
 	dispatcher := forwarder.NewDispatcher(forwarder.DispatcherOptions{
 		Identity:       f.beaconer,
 		Picker:         f.balancer,
-		RetryThrottler: throttler.New(retryBudget(s), f.estimator, func() int { return f.beaconer.View().LiveCount() }),
+		RetryThrottler: throttler.New(retryBudget(s), f.estimator, f.allocator),
 		Checker:        &attemptChecker{cl, f.beaconer},
 		Transport:      transporter.New(nil, transporter.UserTimeout(unackedTimeout)),
 		CheckInterval:  attemptCheckInterval,
--- a/forwarder/dispatcher.go
+++ b/forwarder/dispatcher.go
@@ -242,7 +242,7 @@
 		d.retryCounts.Add(reasonBudget, 1)
 		return false
 	}
-	if !d.retryThrottler.AllowRetry(call.Service, call.Route.Name) {
+	if !d.retryThrottler.AllowRetry(ctx, call.Service, call.Route.Name) {
 		d.retryCounts.Add(reasonThrottle, 1)
 		return false
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -76,7 +76,7 @@
 	// for calls made on behalf of another request.
 	RecordRequest(service, route string, nested bool)
 	// AllowRetry consumes one retry and reports whether one was available.
-	AllowRetry(service, route string) bool
+	AllowRetry(ctx context.Context, service, route string) bool
 }
 
 // Identity returns the name of this node and its incarnation, which differs after
--- a/forwarder/model_test.go
+++ b/forwarder/model_test.go
@@ -113,10 +113,10 @@
 	return time.Millisecond
 }
 
-func (n *faultyNetwork) Identity() (string, uint64)         { return "entry", 1 }
-func (n *faultyNetwork) RecordRequest(string, string, bool) {}
-func (n *faultyNetwork) AllowRetry(string, string) bool     { return true }
-func (n *faultyNetwork) Fresh() bool                        { return true }
+func (n *faultyNetwork) Identity() (string, uint64)                      { return "entry", 1 }
+func (n *faultyNetwork) RecordRequest(string, string, bool)              {}
+func (n *faultyNetwork) AllowRetry(context.Context, string, string) bool { return true }
+func (n *faultyNetwork) Fresh() bool                                     { return true }
 func (n *faultyNetwork) View() *gossiper.View {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/forwarder/nested_test.go
+++ b/forwarder/nested_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"context"
 	"encoding/base64"
 	"errors"
 	"expvar"
@@ -45,11 +46,11 @@
 // singleNode is a member table with one node.
 type singleNode struct{ view *gossiper.View }
 
-func (s singleNode) View() *gossiper.View             { return s.view }
-func (singleNode) Identity() (string, uint64)         { return "entry", 1 }
-func (singleNode) RecordRequest(string, string, bool) {}
-func (singleNode) AllowRetry(string, string) bool     { return false }
-func (singleNode) Fresh() bool                        { return true }
+func (s singleNode) View() *gossiper.View                          { return s.view }
+func (singleNode) Identity() (string, uint64)                      { return "entry", 1 }
+func (singleNode) RecordRequest(string, string, bool)              {}
+func (singleNode) AllowRetry(context.Context, string, string) bool { return false }
+func (singleNode) Fresh() bool                                     { return true }
 
 // envelopeRecorder stores the envelope of the last request that was sent.
 type envelopeRecorder struct{ envelope *schema.Envelope }
--- a/naive/naive.go
+++ b/naive/naive.go
@@ -133,4 +133,4 @@
 func (RetryThrottler) RecordRequest(string, string, bool) {}
 
 // AllowRetry returns true.
-func (RetryThrottler) AllowRetry(string, string) bool { return true }
+func (RetryThrottler) AllowRetry(context.Context, string, string) bool { return true }
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -2,27 +2,39 @@
 // all nodes of the fleet together at each service.
 //
 // In any window the extra arrivals at a service may be at most a share of the
-// requests that callers sent for it (the ratio) and a fixed number (the slack).
-// Each node uses a part that stays within the budget whatever the other nodes
-// do: half of the ratio for the requests received by this node, and an equal
-// part of half of the slack. A request that is retried makes its nested calls
-// again, so an extra attempt is charged to every service that it reaches.
+// requests that callers sent for it (the ratio) and a fixed number (the slack). A node
+// earns a part of the ratio by the requests that it receives, and forgets what it has
+// not used within a window. The slack is in a pool that all nodes share, since few of them
+// send the calls that fail; a part for each node would also grow with the fleet. A request
+// that is retried makes its nested calls again, so an extra attempt is charged to every
+// service that it reaches.
 //
 // # Usage
 //
-//	r := throttler.New(throttler.Budget{Ratio: 0.2, Slack: 48, Window: 10 * time.Second}, counts, nodes)
+//	r := throttler.New(throttler.Budget{Ratio: 0.2, Slack: 48, Window: 10 * time.Second}, counts, pool)
 //	r.RecordRequest("orders", "place", false)
-//	if r.AllowRetry("orders", "place") { retry }
+//	if r.AllowRetry(ctx, "orders", "place") { retry }
 package throttler
 
 import (
+	"cmp"
+	"context"
+	"maps"
+	"math"
+	"slices"
 	"sync"
 	"time"
 )
 
-// usedShare is the share of the budget that is used. The rest covers attempts at
-// the edge of a window, and nodes that count each other twice.
-const usedShare = 0.5
+const (
+	// earnedShare is the share of the ratio that is used. The rest covers attempts at
+	// the edge of a window, and nodes that count each other twice.
+	earnedShare = 0.5
+	// pooledShare is the share of the slack that the pool may give out in a window, one
+	// half at once and the other one in the course of it. initialShare is the share
+	// with which a pool starts.
+	pooledShare, initialShare = 0.6, 0.1
+)
 
 // Budget limits the extra arrivals at a service in any window.
 type Budget struct {
@@ -40,50 +52,54 @@
 	Counts(route string) map[string]float64
 }
 
-// Throttler holds this node's part of the retry budget of each service.
+// Shared returns the rate, in tokens per second, the size and the initial content of the
+// token bucket of the pool.
+func (b Budget) Shared() (rate, size, initial float64) {
+	half := pooledShare / 2 * b.Slack
+	return half / b.Window.Seconds(), half, initialShare * b.Slack
+}
+
+// Pool holds the part of the budgets that all nodes share.
+type Pool interface {
+	// Draw takes tokens of a service, each for one extra arrival, and reports whether
+	// there were enough.
+	Draw(ctx context.Context, service string, tokens float64) bool
+}
+
+// Throttler holds what this node has earned of the retry budget of each service.
 type Throttler struct {
 	budget Budget
 	counts CallCounter
-	nodes  func() int
-
-	mu       sync.Mutex
-	services map[string]*bucket
-}
+	pool   Pool
 
-// bucket is the token bucket of one service; a token is one extra arrival.
-type bucket struct {
-	tokens     float64
-	refilledAt time.Time
+	mu     sync.Mutex
+	earned map[string]*earnings
 }
 
-// New returns a throttler; nodes returns the size of the fleet.
-func New(b Budget, c CallCounter, nodes func() int) *Throttler {
-	return &Throttler{budget: b, counts: c, nodes: nodes, services: map[string]*bucket{}}
+// earnings are the extra arrivals at a service that this node may cause.
+type earnings struct {
+	tokens    float64
+	decayedAt time.Time
 }
 
-// nodeSlack returns this node's part of the slack.
-func (r *Throttler) nodeSlack() float64 {
-	return usedShare * r.budget.Slack / float64(max(r.nodes(), 1))
+// New returns a throttler.
+func New(b Budget, c CallCounter, p Pool) *Throttler {
+	return &Throttler{budget: b, counts: c, pool: p, earned: map[string]*earnings{}}
 }
 
-// refilledBucket returns the refilled bucket of a service. The caller holds the
-// lock.
-func (r *Throttler) refilledBucket(name string) *bucket {
+// earnings returns what is left of the earnings for a service. The caller holds the lock.
+func (r *Throttler) earnings(service string) *earnings {
 	now := time.Now()
-	b := r.services[name]
-	if b == nil {
-		b = &bucket{tokens: r.capacity(), refilledAt: now}
-		r.services[name] = b
+	e := r.earned[service]
+	if e == nil {
+		e = &earnings{decayedAt: now}
+		r.earned[service] = e
 	}
-	b.tokens = min(r.capacity(), b.tokens+r.nodeSlack()*now.Sub(b.refilledAt).Seconds()/r.budget.Window.Seconds())
-	b.refilledAt = now
-	return b
+	e.tokens *= math.Exp(-float64(now.Sub(e.decayedAt)) / float64(r.budget.Window))
+	e.decayedAt = now
+	return e
 }
 
-// capacity returns the maximum number of tokens of a bucket. It is at least one,
-// because a smaller bucket would never allow an attempt.
-func (r *Throttler) capacity() float64 { return max(1, r.nodeSlack()) }
-
 // RecordRequest adds tokens for a request of a caller. Nested calls add none,
 // because the budget is a share of the requests sent by callers.
 func (r *Throttler) RecordRequest(service, _ string, nested bool) {
@@ -92,36 +108,37 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b := r.refilledBucket(service)
-	b.tokens = min(r.capacity(), b.tokens+usedShare*r.budget.Ratio)
+	r.earnings(service).tokens += earnedShare * r.budget.Ratio
 }
 
 // AllowRetry charges an extra attempt to every service that it reaches and reports
-// whether all of them have budget left. If not, it charges nothing. If the
+// whether all of them have budget left. It asks for the largest charge first. If the
 // services reached are unknown, it charges the given service only.
-func (r *Throttler) AllowRetry(service, route string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
+func (r *Throttler) AllowRetry(ctx context.Context, service, route string) bool {
 	counts := r.counts.Counts(route)
 	if counts[service] == 0 {
-		return r.tryWithdraw(service, 1)
+		counts = map[string]float64{service: 1}
 	}
-	for name := range counts {
-		if r.refilledBucket(name).tokens < 1 {
+	names := slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
+	})
+	for _, name := range names {
+		if !r.charge(ctx, name, counts[name]) {
 			return false
 		}
 	}
-	for name, count := range counts {
-		r.refilledBucket(name).tokens -= count
-	}
 	return true
 }
 
-func (r *Throttler) tryWithdraw(service string, count float64) bool {
-	b := r.refilledBucket(service)
-	if b.tokens < 1 {
-		return false
+// charge takes tokens of this node, or else of the pool.
+func (r *Throttler) charge(ctx context.Context, service string, tokens float64) bool {
+	r.mu.Lock()
+	e := r.earnings(service)
+	if e.tokens >= tokens {
+		e.tokens -= tokens
+		r.mu.Unlock()
+		return true
 	}
-	b.tokens -= count
-	return true
+	r.mu.Unlock()
+	return r.pool.Draw(ctx, service, max(1, tokens))
 }
--- a/tracker/throttle.go
+++ b/tracker/throttle.go
@@ -1,6 +1,9 @@
 package tracker
 
-import "sync"
+import (
+	"context"
+	"sync"
+)
 
 const (
 	// retryRatio is the number of retry tokens added for each call.
@@ -27,7 +30,7 @@
 }
 
 // AllowRetry consumes the token of one retry. It returns false if there is none.
-func (t *Throttle) AllowRetry(string, string) bool {
+func (t *Throttle) AllowRetry(context.Context, string, string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.tokens < 1 {
