Notice slow upstreams by the age of their active requests

Cause: the mean latency of an upstream follows requests that have ended.

Now the described latency also follows the mean age of the active requests, and is forgotten while there are none: an upstream that nobody uses can't show that it is fast again.

--- a/forwarder/dispatcher.go
+++ b/forwarder/dispatcher.go
@@ -235,21 +235,26 @@
 	if err != nil && code.Info().Outcome == schema.Outcome_OUTCOME_NOT_RUN {
 		reason = reasonNotRun
 	} else if !call.Route.Idempotent {
-		d.retryCounts.Add(reasonNotIdempotent, 1)
-		return false
+		return d.keepResult(call, reasonNotIdempotent, code)
 	}
 	if !call.Retryable || !call.mayOffer() || !call.Parent.Budget.TryConsume() {
-		d.retryCounts.Add(reasonBudget, 1)
-		return false
+		return d.keepResult(call, reasonBudget, code)
 	}
 	if !d.retryThrottler.AllowRetry(ctx, call.Service, call.Route.Name) {
-		d.retryCounts.Add(reasonThrottle, 1)
-		return false
+		return d.keepResult(call, reasonThrottle, code)
 	}
 	d.retryCounts.Add(reason, 1)
 	return true
 }
 
+// keepResult records why a call is not sent again, and returns false.
+func (d *Dispatcher) keepResult(call *Call, reason string, code refuser.Code) bool {
+	d.retryCounts.Add(reason, 1)
+	d.reporter.Event("not_resent", "request", call.Parent.ID, "service", call.Service, "reason", reason, "code", uint32(code),
+		"offered", call.offered, "attempts", call.Route.Attempts)
+	return false
+}
+
 // attempt is one transmission of a call to a node.
 type attempt struct {
 	id     string
--- /dev/null
+++ b/guard/ages_test.go
@@ -0,0 +1,67 @@
+package guard_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"quetzalhub/guard"
+)
+
+// TestSlowUpstreamShows guards against an upstream that has become slow, or hangs, and is
+// still sent as many requests as before because none of the slow ones has ended. Load
+// pattern: an upstream becomes twelve times slower, or hangs, under steady load, and is
+// fast again later.
+func TestSlowUpstreamShows(t *testing.T) {
+	const latency = 100 * time.Millisecond
+	cases := map[string]struct {
+		slowdown float64
+		// within is the time in which the described latency must be three times higher.
+		within time.Duration
+	}{
+		"twelve times slower": {12, 400 * time.Millisecond},
+		"hangs":               {1000, 400 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				rng := rand.New(rand.NewPCG(1, 2))
+				slot := guard.New(guard.InitialLimit(75), guard.FixedLimit(), guard.QueueBelowLevel())
+				described := func() time.Duration { return slot.Describe().GetLatency().AsDuration() }
+				ctx, cancel := context.WithCancel(context.Background())
+				slowdown := 1.0
+				send := func(d time.Duration) {
+					for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+						permit, err := slot.Acquire(ctx, guard.Request{Objective: time.Second})
+						if err != nil {
+							continue
+						}
+						took := time.Duration(float64(latency) * slowdown * (0.5 + rng.Float64()))
+						go func() {
+							select {
+							case <-time.After(took):
+							case <-ctx.Done():
+							}
+							permit.Release()
+						}()
+					}
+				}
+				send(2 * time.Second)
+				g.Expect(described()).To(BeNumerically("~", latency, latency/3))
+				slowdown = c.slowdown
+				send(c.within)
+				t.Logf("described %v after %v", described(), c.within)
+				g.Expect(described()).To(BeNumerically(">", 3*latency))
+				cancel()
+				synctest.Wait()
+				time.Sleep(6 * time.Second)
+				g.Expect(described()).To(BeNumerically("<", 3*latency), "it is tried again")
+			})
+		})
+	}
+}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -75,6 +75,8 @@
 	// meanLatency is the exponential moving average of the time of a request at
 	// the upstream.
 	meanLatency time.Duration
+	// ages tells how long the active requests have run.
+	ages ages
 	// meanLoad is the exponential moving average of the number of active and
 	// queued requests, as of meanLoadUpdated.
 	meanLoad        float64
@@ -126,7 +128,7 @@
 	}
 	if g.active < g.limiter.limit() && g.queue.length == 0 && g.rate.available(now) {
 		g.rate.take()
-		g.active++
+		g.start(now)
 		g.level.recordDelay(0)
 		g.mu.Unlock()
 		return &Permit{guard: g, admittedAt: now}, nil
@@ -141,6 +143,12 @@
 	return g.awaitAdmission(ctx, w)
 }
 
+// start counts a request that starts at the upstream. The caller holds the lock.
+func (g *Guard) start(now time.Time) {
+	g.active++
+	g.ages.start(now)
+}
+
 // adjustLevel adjusts the level if a window has passed; the caller holds the
 // lock.
 func (g *Guard) adjustLevel(now time.Time) {
@@ -166,7 +174,7 @@
 	code := refuser.ShedAtGuard
 	select {
 	case admitted := <-w.decision:
-		return g.newPermit(admitted)
+		return g.newPermit(w, admitted)
 	case <-ctx.Done():
 		code = refuser.DeadlineBeforeRun
 	case <-timer.C:
@@ -180,14 +188,14 @@
 	if removed {
 		return nil, &refuser.Error{Code: code}
 	}
-	return g.newPermit(<-w.decision)
+	return g.newPermit(w, <-w.decision)
 }
 
-func (g *Guard) newPermit(admitted bool) (*Permit, error) {
+func (g *Guard) newPermit(w *waiter, admitted bool) (*Permit, error) {
 	if !admitted {
 		return nil, &refuser.Error{Code: g.rejectionCode()}
 	}
-	return &Permit{guard: g, admittedAt: time.Now()}, nil
+	return &Permit{guard: g, admittedAt: w.admittedAt}, nil
 }
 
 // ExcludeCallTime subtracts the time that the request spent in calls to other
@@ -204,6 +212,7 @@
 	g.level.recordCompletion()
 	g.limiter.addSample(now, p.admittedAt, now.Sub(p.admittedAt)-p.callTime, g.active)
 	g.updateMeanLatency(now.Sub(p.admittedAt))
+	g.ages.end(now, p.admittedAt)
 	g.active--
 	g.admitQueued(now)
 }
@@ -224,8 +233,9 @@
 			return
 		}
 		g.rate.take()
-		g.active++
+		g.start(now)
 		g.level.recordDelay(now.Sub(w.queuedAt))
+		w.admittedAt = now
 		w.decision <- true
 	}
 	g.scheduleAdmission()
@@ -300,7 +310,7 @@
 		Active:  uint32(g.active),
 		Queued:  uint32(g.queue.length),
 		Level:   g.level.minPriority,
-		Latency: durationpb.New(g.meanLatency),
+		Latency: durationpb.New(g.ages.latency(now, g.meanLatency)),
 		Rate:    g.rate.perSecond,
 	}
 }
--- a/guard/queue.go
+++ b/guard/queue.go
@@ -9,6 +9,8 @@
 	request  Request
 	priority uint32
 	queuedAt time.Time
+	// admittedAt is set before true is sent to decision.
+	admittedAt time.Time
 	// decision receives true on admission and false on eviction or Close.
 	decision chan bool
 }
