Weigh upstreams by the chance that calls end in time

Cause: the power of the time left by which upstreams were weighted had no bound.

Now the weight is divided by the chance that the calls end late, by a log-normal time that varies less for several calls in turn, and a smallest chance.

--- a/balancer/capacity.go
+++ b/balancer/capacity.go
@@ -46,11 +46,11 @@
 	// upstreams get less than their success rate, since one failed call of
 	// several fails the whole request.
 	successExponent = 10
-	// safeTimeRatio is the ratio of the time that a call has to its mean time at an
-	// upstream from which on it nearly always ends in time. Below it, the weight falls
-	// with timeExponent as power.
-	safeTimeRatio = 4
-	timeExponent  = 8
+	// timeSpread is the standard deviation of the logarithm of the time that a call takes.
+	timeSpread = 0.5
+	// minLateness is added to the chance that a call does not end in time, by which the
+	// weight is divided. It bounds the preference for the fastest upstreams.
+	minLateness = 0.0004
 	// failureWeight is the weight of a new call in the moving average of the
 	// failure rate.
 	failureWeight = 0.05
@@ -105,6 +105,20 @@
 	// Expected is the mean time that these take at the upstreams of the service. It is
 	// zero if it is not known; the time left is then ignored.
 	Expected time.Duration
+	// Calls is their number. The time of several varies less than that of one. Zero
+	// counts as one.
+	Calls int
+}
+
+// lateness returns the chance that the calls do not end in time at an upstream with the
+// given relative latency. Their time is taken as log-normally distributed.
+func (n Need) lateness(relativeLatency float64) float64 {
+	ratio := n.Left.Seconds() / (n.Expected.Seconds() * relativeLatency)
+	if ratio <= 0 {
+		return 1
+	}
+	spread := timeSpread / math.Sqrt(float64(max(n.Calls, 1)))
+	return math.Erfc((math.Log(ratio)+spread*spread/2)/spread/math.Sqrt2) / 2
 }
 
 // candidate is a node that may be selected.
@@ -188,10 +202,7 @@
 	factor := 1 / math.Pow(latency, latencyExponent)
 	if need.Expected > 0 {
 		// Calls beyond the limit wait until others have ended.
-		expected := need.Expected.Seconds() * latency / meanLatency * max(1, c.utilization)
-		if ratio := max(need.Left.Seconds(), 0) / expected; ratio < safeTimeRatio {
-			factor *= math.Pow(ratio/safeTimeRatio, timeExponent)
-		}
+		factor /= need.lateness(latency/meanLatency*max(1, c.utilization)) + minLateness
 	}
 	return factor
 }
--- a/balancer/intime_test.go
+++ b/balancer/intime_test.go
@@ -96,7 +96,7 @@
 						var target *balancer.Target
 						if c.inTime {
 							inTurn := time.Duration(calls - i)
-							target, _ = b.PickInTime("orders", balancer.Need{Left: left, Expected: meanWork * inTurn}, nil)
+							target, _ = b.PickInTime("orders", balancer.Need{Left: left, Expected: meanWork * inTurn, Calls: calls - i}, nil)
 						} else {
 							target, _ = b.Pick("orders", nil)
 						}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -119,7 +119,7 @@
 	left := time.Until(c.Parent.Deadline)
 	if c.series > 1 {
 		if all := time.Until(c.seriesDeadline); all < left*time.Duration(c.series) {
-			return balancer.Need{Left: all, Expected: slotTime * time.Duration(c.series)}
+			return balancer.Need{Left: all, Expected: slotTime * time.Duration(c.series), Calls: c.series}
 		}
 	}
 	if objective := c.Route.TargetLatency; c.series == 0 && objective > 0 {
