Compare upstreams by the pace of requests of the same kind

Cause: an upstream's mean latency depends on which kinds of requests it has received.

Now each guard also keeps the mean ratio of the time of a request to that of requests of its route at all upstreams, and the balancer compares these. A request waits a quarter of its objective in a queue in place of half, and goes elsewhere with more of its time left.

--- a/attacher/module.go
+++ b/attacher/module.go
@@ -392,6 +392,7 @@
 			ObserveQueueTime: rec.Queue.Observe,
 			Quarantine:       q,
 			OnCrash:          f.beaconer.Announce,
+			SlotTime:         f.estimator.SlotTime,
 			Reporter:         rep,
 		}),
 		responder: responder.New(responder.Dependencies{
--- a/balancer/capacity.go
+++ b/balancer/capacity.go
@@ -15,10 +15,6 @@
 	defaultLimit = 16
 	// defaultLatency is the latency assumed for such an upstream.
 	defaultLatency = 100 * time.Millisecond
-	// latencyExponent is the power of the latency by which a weight is
-	// divided. Slower upstreams get less than their proportional share, since
-	// a request with one slow call among many is late as a whole.
-	latencyExponent = 3
 	// maxUtilization is the utilization at which an upstream gets only the
 	// minimum weight. It is above 1 since load reports are older than the
 	// selection and some calls may queue at the upstream.
@@ -127,10 +123,11 @@
 	// concurrency is the number of calls that the upstream may run at a time.
 	concurrency float64
 	utilization float64
-	// latency is the mean latency in seconds, or zero if it is not known.
-	latency float64
-	weight  float64
-	local   bool
+	// latency is the mean latency in seconds, and pace the mean ratio of the time of a
+	// call to that of calls of its kind at all upstreams. They are zero if not known.
+	latency, pace float64
+	weight        float64
+	local         bool
 }
 
 // PickInTime selects a node like Pick. If nodes are selected by spare capacity, those at
@@ -192,17 +189,22 @@
 	return t, true
 }
 
-// latencyFactor returns the factor of the weight that follows from the latency of the
-// upstream, given the mean latency of all upstreams of the service.
+// latencyFactor returns the factor of the weight that follows from the pace of the
+// upstream, or from its latency given the mean latency of all upstreams of the service.
 func (c *candidate) latencyFactor(meanLatency float64, need Need) float64 {
-	latency := c.latency
-	if latency == 0 {
-		latency = meanLatency
+	pace := c.pace
+	if pace == 0 && c.latency > 0 {
+		pace = c.latency / meanLatency
 	}
-	factor := 1 / math.Pow(latency, latencyExponent)
+	if pace == 0 {
+		pace = 1
+	}
+	// Slower upstreams get less than their proportional share, since a request with one
+	// slow call among many is late as a whole.
+	factor := 1 / (pace * pace * pace)
 	if need.Expected > 0 {
 		// Calls beyond the limit wait until others have ended.
-		factor /= need.lateness(latency/meanLatency*max(1, c.utilization)) + minLateness
+		factor /= need.lateness(pace*max(1, c.utilization)) + minLateness
 	}
 	return factor
 }
@@ -234,7 +236,7 @@
 			limit = float64(e.GetLimit())
 		}
 		busy = float64(e.GetActive() + e.GetQueued())
-		c.latency = e.GetLatency().AsDuration().Seconds()
+		c.latency, c.pace = e.GetLatency().AsDuration().Seconds(), float64(e.GetPace())
 		rate = e.GetRate()
 		cold = e.GetCold().AsDuration() > now.Sub(l.receivedAt)
 		failureRate = float64(e.GetFailing())
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -69,6 +69,9 @@
 	// ObserveQueueTime receives the time for which each call waited for a slot
 	// of the concurrency limiter. It may be nil.
 	ObserveQueueTime func(time.Duration)
+	// SlotTime returns the mean time that a request of a route takes at the upstreams
+	// of a service, or zero if it is not known. It may be nil.
+	SlotTime func(route, service string) time.Duration
 }
 
 // UpstreamObserver records the results of calls to the local upstream.
@@ -110,6 +113,9 @@
 	if o.Quarantine == nil {
 		o.Quarantine = quarantiner.New()
 	}
+	if o.SlotTime == nil {
+		o.SlotTime = func(string, string) time.Duration { return 0 }
+	}
 	if o.OnCrash == nil {
 		o.OnCrash = func() {}
 	}
@@ -206,6 +212,7 @@
 	permit, err := rc.upstream.Limiter.Acquire(ctx, guard.Request{
 		Class: rc.request.Class, Rank: rc.request.Rank, Workspace: rc.request.Workspace,
 		Objective: rc.envelope.GetObjective().AsDuration(),
+		Expected:  r.options.SlotTime(rc.envelope.GetRoute(), rc.envelope.GetService()),
 	})
 	if err != nil {
 		r.options.Fencer.MarkNotRun(id)
--- a/guard/ages.go
+++ b/guard/ages.go
@@ -20,46 +20,55 @@
 	forgetHalfLife = time.Second
 )
 
-// ages holds the ages of the active requests. Requests at an upstream that has become slow
-// end late, and those at one that hangs never end, so that the latencies of the requests
-// that have ended show neither for a long time.
+// ages holds the ages of the active requests, as ratios to the times expected. Requests at
+// an upstream that has become slow end late, and those at one that hangs never end, so
+// that the requests that have ended show neither for a long time.
 type ages struct {
 	active int
-	// startSum is the sum of the start times of the active requests, since epoch.
-	startSum time.Duration
-	epoch    time.Time
+	// weights is the sum of the reciprocals of the expected times of the active requests,
+	// per second, and weightedStarts that of their start times in seconds since epoch,
+	// multiplied by these reciprocals.
+	weights, weightedStarts float64
+	epoch                   time.Time
 	// idleSince is the time of the last change to no active request.
 	idleSince time.Time
 }
 
-func (a *ages) start(now time.Time) {
+func (a *ages) start(now time.Time, expected time.Duration) {
+	if expected <= 0 {
+		return
+	}
 	if a.epoch.IsZero() {
 		a.epoch = now
 	}
 	a.active++
-	a.startSum += now.Sub(a.epoch)
+	a.weights += 1 / expected.Seconds()
+	a.weightedStarts += now.Sub(a.epoch).Seconds() / expected.Seconds()
 }
 
-func (a *ages) end(now, started time.Time) {
+func (a *ages) end(now, started time.Time, expected time.Duration) {
+	if expected <= 0 {
+		return
+	}
 	a.active--
-	a.startSum -= started.Sub(a.epoch)
+	a.weights -= 1 / expected.Seconds()
+	a.weightedStarts -= started.Sub(a.epoch).Seconds() / expected.Seconds()
 	if a.active == 0 {
-		a.idleSince = now
+		a.weights, a.weightedStarts, a.idleSince = 0, 0, now
 	}
 }
 
-// latency returns an estimate of the latency of requests that start now, given the mean of
-// those that have ended.
-func (a *ages) latency(now time.Time, mean time.Duration) time.Duration {
-	if mean == 0 {
-		return 0
+// slowdown returns the factor by which requests that start now are estimated to take longer
+// than those that have ended, whose mean pace is given.
+func (a *ages) slowdown(now time.Time, pace float64) float64 {
+	if pace <= 0 {
+		return 1
 	}
 	if a.active == 0 {
 		idle := max(now.Sub(a.idleSince)-forgetDelay, 0)
-		return time.Duration(float64(mean) * math.Exp2(-float64(idle)/float64(forgetHalfLife)))
+		return math.Exp2(-float64(idle) / float64(forgetHalfLife))
 	}
-	sum := now.Sub(a.epoch)*time.Duration(a.active) - a.startSum
-	assumed := time.Duration(ageWeight * float64(mean) / ageToLatency)
-	age := (sum + assumed) / time.Duration(a.active+ageWeight)
-	return max(mean, time.Duration(ageToLatency*float64(age)))
+	sum := now.Sub(a.epoch).Seconds()*a.weights - a.weightedStarts
+	age := (sum + ageWeight*pace/ageToLatency) / float64(a.active+ageWeight)
+	return max(1, ageToLatency*age/pace)
 }
--- a/guard/ages_test.go
+++ b/guard/ages_test.go
@@ -37,7 +37,7 @@
 				slowdown := 1.0
 				send := func(d time.Duration) {
 					for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-						permit, err := slot.Acquire(ctx, guard.Request{Objective: time.Second})
+						permit, err := slot.Acquire(ctx, guard.Request{Objective: time.Second, Expected: latency})
 						if err != nil {
 							continue
 						}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -52,6 +52,9 @@
 	// Objective is the latency objective of the request, or zero if it is not
 	// known. It bounds the time in the queue.
 	Objective time.Duration
+	// Expected is the mean time that requests of this kind take, or zero if it is not
+	// known.
+	Expected time.Duration
 }
 
 // Priority returns the priority of a request. Lower priorities are shed first.
@@ -75,6 +78,10 @@
 	// meanLatency is the exponential moving average of the time of a request at
 	// the upstream.
 	meanLatency time.Duration
+	// pace is the exponential moving average of the ratio of the time of a request to
+	// that expected, or zero before the first one. Latencies alone depend on which
+	// kinds of requests an upstream has received.
+	pace float64
 	// ages tells how long the active requests have run.
 	ages ages
 	// meanLoad is the exponential moving average of the number of active and
@@ -103,6 +110,7 @@
 type Permit struct {
 	guard      *Guard
 	admittedAt time.Time
+	expected   time.Duration
 	callTime   time.Duration
 }
 
@@ -128,10 +136,10 @@
 	}
 	if g.active < g.limiter.limit() && g.queue.length == 0 && g.rate.available(now) {
 		g.rate.take()
-		g.start(now)
+		g.start(now, r.Expected)
 		g.level.recordDelay(0)
 		g.mu.Unlock()
-		return &Permit{guard: g, admittedAt: now}, nil
+		return &Permit{guard: g, admittedAt: now, expected: r.Expected}, nil
 	}
 	w := &waiter{request: r, priority: priority, queuedAt: now, decision: make(chan bool, 1)}
 	evicted := g.queue.push(w, g.queueLimit())
@@ -144,9 +152,9 @@
 }
 
 // start counts a request that starts at the upstream. The caller holds the lock.
-func (g *Guard) start(now time.Time) {
+func (g *Guard) start(now time.Time, expected time.Duration) {
 	g.active++
-	g.ages.start(now)
+	g.ages.start(now, expected)
 }
 
 // adjustLevel adjusts the level if a window has passed; the caller holds the
@@ -195,7 +203,7 @@
 	if !admitted {
 		return nil, &refuser.Error{Code: g.rejectionCode()}
 	}
-	return &Permit{guard: g, admittedAt: w.admittedAt}, nil
+	return &Permit{guard: g, admittedAt: w.admittedAt, expected: w.request.Expected}, nil
 }
 
 // ExcludeCallTime subtracts the time that the request spent in calls to other
@@ -212,7 +220,8 @@
 	g.level.recordCompletion()
 	g.limiter.addSample(now, p.admittedAt, now.Sub(p.admittedAt)-p.callTime, g.active)
 	g.updateMeanLatency(now.Sub(p.admittedAt))
-	g.ages.end(now, p.admittedAt)
+	g.updatePace(now.Sub(p.admittedAt), p.expected)
+	g.ages.end(now, p.admittedAt, p.expected)
 	g.active--
 	g.admitQueued(now)
 }
@@ -224,6 +233,17 @@
 	g.meanLatency += time.Duration(latencyWeight * float64(latency-g.meanLatency))
 }
 
+func (g *Guard) updatePace(latency, expected time.Duration) {
+	if expected <= 0 {
+		return
+	}
+	ratio := float64(latency) / float64(expected)
+	if g.pace == 0 {
+		g.pace = ratio
+	}
+	g.pace += latencyWeight * (ratio - g.pace)
+}
+
 // admitQueued admits queued requests up to the concurrency limit and the rate limit;
 // the caller holds the lock.
 func (g *Guard) admitQueued(now time.Time) {
@@ -233,7 +253,7 @@
 			return
 		}
 		g.rate.take()
-		g.start(now)
+		g.start(now, w.request.Expected)
 		g.level.recordDelay(now.Sub(w.queuedAt))
 		w.admittedAt = now
 		w.decision <- true
@@ -304,13 +324,15 @@
 	now := time.Now()
 	g.adjustLevel(now)
 	g.updateMeanLoad(now)
+	slowdown := g.ages.slowdown(now, g.pace)
 	return &schema.Endpoint{
+		Pace:    float32(g.pace * slowdown),
 		Busy:    float32(g.meanLoad),
 		Limit:   uint32(g.limiter.limit()),
 		Active:  uint32(g.active),
 		Queued:  uint32(g.queue.length),
 		Level:   g.level.minPriority,
-		Latency: durationpb.New(g.ages.latency(now, g.meanLatency)),
+		Latency: durationpb.New(time.Duration(float64(g.meanLatency) * slowdown)),
 		Rate:    g.rate.perSecond,
 	}
 }
--- a/guard/options.go
+++ b/guard/options.go
@@ -15,9 +15,9 @@
 	// concurrency limit.
 	minSamples = 8
 	// objectiveWaitDivisor divides the latency objective of a request to get its
-	// longest time in the queue. After a longer wait too little time would be
-	// left for the upstream.
-	objectiveWaitDivisor = 2
+	// longest time in the queue. After it the request goes to another upstream, for
+	// which enough time must be left.
+	objectiveWaitDivisor = 4
 	// latencyWeight is the weight of a new sample in the mean latency.
 	latencyWeight = 0.1
 	// meanLoadTimeConstant is the time constant of the exponential moving average
