Try slow upstreams again with single requests

Now its pace is forgotten down to 2.5 only, so that it receives single requests, and one that turns out fast is believed quickly. TestSlowUpstreamShows asks for both.

--- a/guard/ages.go
+++ b/guard/ages.go
@@ -14,10 +14,12 @@
 	// addition, since the mean age of a few says little.
 	ageWeight = 3
 	// forgetDelay is the time without active requests after which an upstream may have
-	// become faster, and forgetHalfLife the half-life of its latency from then on. It
-	// receives requests again only once it is not thought to be slow.
+	// become faster, and forgetHalfLife the half-life of its pace from then on, down to
+	// forgottenPace. A slow upstream then receives single requests, which show whether it
+	// still is, and not at once as many as one that is known to be fast.
 	forgetDelay    = time.Second
 	forgetHalfLife = time.Second
+	forgottenPace  = 2.5
 )
 
 // ages holds the ages of the active requests, as ratios to the times expected. Requests at
@@ -66,7 +68,7 @@
 	}
 	if a.active == 0 {
 		idle := max(now.Sub(a.idleSince)-forgetDelay, 0)
-		return math.Exp2(-float64(idle) / float64(forgetHalfLife))
+		return max(math.Exp2(-float64(idle)/float64(forgetHalfLife)), min(1, forgottenPace/pace))
 	}
 	sum := now.Sub(a.epoch).Seconds()*a.weights - a.weightedStarts
 	age := (sum + ageWeight*pace/ageToLatency) / float64(a.active+ageWeight)
--- a/guard/ages_test.go
+++ b/guard/ages_test.go
@@ -61,6 +61,12 @@
 				synctest.Wait()
 				time.Sleep(6 * time.Second)
 				g.Expect(described()).To(BeNumerically("<", 3*latency), "it is tried again")
+				g.Expect(slot.Describe().GetPace()).To(BeNumerically(">", 2), "it is not taken for a fast one")
+				slowdown = 1
+				ctx, cancel = context.WithCancel(context.Background())
+				defer cancel()
+				send(500 * time.Millisecond)
+				g.Expect(slot.Describe().GetPace()).To(BeNumerically("<", 1.5), "it is fast again")
 			})
 		})
 	}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -241,7 +241,11 @@
 	if g.pace == 0 {
 		g.pace = ratio
 	}
-	g.pace += latencyWeight * (ratio - g.pace)
+	weight := latencyWeight
+	if ratio < g.pace/2 {
+		weight = recoveryWeight
+	}
+	g.pace += weight * (ratio - g.pace)
 }
 
 // admitQueued admits queued requests up to the concurrency limit and the rate limit;
--- a/guard/options.go
+++ b/guard/options.go
@@ -20,6 +20,9 @@
 	objectiveWaitDivisor = 4
 	// latencyWeight is the weight of a new sample in the mean latency.
 	latencyWeight = 0.1
+	// recoveryWeight is the weight of a request that took less than half of the time
+	// that its upstream was thought to need.
+	recoveryWeight = 0.3
 	// meanLoadTimeConstant is the time constant of the exponential moving average
 	// of the number of requests.
 	meanLoadTimeConstant = 250 * time.Millisecond
