Do not take an upstream for fast by one short request

Cause: the pace started with that of the first request.

Now the pace starts at the mean and one request weighs 0.05; no upstream is preferred beyond half of the mean pace.

--- a/balancer/capacity.go
+++ b/balancer/capacity.go
@@ -42,6 +42,8 @@
 	// upstreams get less than their success rate, since one failed call of
 	// several fails the whole request.
 	successExponent = 10
+	// minPace is the pace below which an upstream is not preferred more.
+	minPace = 0.5
 	// timeSpread is the standard deviation of the logarithm of the time that a call takes.
 	timeSpread = 0.5
 	// minLateness is added to the chance that a call does not end in time, by which the
@@ -199,6 +201,7 @@
 	if pace == 0 {
 		pace = 1
 	}
+	pace = max(pace, minPace)
 	// Slower upstreams get less than their proportional share, since a request with one
 	// slow call among many is late as a whole.
 	factor := 1 / (pace * pace * pace)
--- a/guard/ages_test.go
+++ b/guard/ages_test.go
@@ -71,3 +71,33 @@
 		})
 	}
 }
+
+// TestFirstRequestsSayLittle guards against a herd: the nodes of a large fleet would all
+// send their requests to the upstream whose first request happened to be short.
+func TestFirstRequestsSayLittle(t *testing.T) {
+	cases := map[string]struct {
+		took []time.Duration
+		// least and most are the bounds of the described pace.
+		least, most float64
+	}{
+		"no request":              {nil, 0, 0},
+		"one short request":       {[]time.Duration{10 * time.Millisecond}, 0.8, 1},
+		"one long request":        {[]time.Duration{300 * time.Millisecond}, 1, 1.3},
+		"a hundred fast requests": {make([]time.Duration, 100), 0, 0.4},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				slot := guard.New(guard.InitialLimit(75), guard.FixedLimit(), guard.QueueBelowLevel())
+				for _, took := range c.took {
+					permit, err := slot.Acquire(t.Context(), guard.Request{Expected: 100 * time.Millisecond})
+					g.Expect(err).NotTo(HaveOccurred())
+					time.Sleep(took)
+					permit.Release()
+				}
+				g.Expect(slot.Describe().GetPace()).To(And(BeNumerically(">=", c.least), BeNumerically("<=", c.most)))
+			})
+		})
+	}
+}
--- a/guard/guard.go
+++ b/guard/guard.go
@@ -239,10 +239,11 @@
 	}
 	ratio := float64(latency) / float64(expected)
 	if g.pace == 0 {
-		g.pace = ratio
+		// One short request must not draw the requests of all nodes.
+		g.pace = 1
 	}
-	weight := latencyWeight
-	if ratio < g.pace/2 {
+	weight := paceWeight
+	if g.pace > slowPace && ratio < g.pace/2 {
 		weight = recoveryWeight
 	}
 	g.pace += weight * (ratio - g.pace)
--- a/guard/options.go
+++ b/guard/options.go
@@ -20,9 +20,13 @@
 	objectiveWaitDivisor = 4
 	// latencyWeight is the weight of a new sample in the mean latency.
 	latencyWeight = 0.1
+	// paceWeight is the weight of a request in the mean pace. Requests that become slow
+	// show sooner, by their age.
+	paceWeight = 0.05
 	// recoveryWeight is the weight of a request that took less than half of the time
-	// that its upstream was thought to need.
+	// that its upstream was thought to need, while its pace is above slowPace.
 	recoveryWeight = 0.3
+	slowPace       = 1.5
 	// meanLoadTimeConstant is the time constant of the exponential moving average
 	// of the number of requests.
 	meanLoadTimeConstant = 250 * time.Millisecond
