--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -61,7 +61,7 @@
 	// minBucketSize is the mean size in tokens that the buckets of a workspace must
 	// have at the nodes for its rate to be divided. Smaller buckets would refuse single
 	// requests of workspaces with low rates.
-	minBucketSize = 1.5
+	minBucketSize = 5
 	// rateOverageShare and burstOverageShare are the shares of the allowance that
 	// are used to admit more requests, and restartShare is the share with which
 	// reserves and buckets start. The rest covers arrivals that other nodes have
