Drop tokens when a rate becomes pooled or divided

Found by reading: the bucket of a rate that becomes divided counted the whole time for which it was pooled as time to refill, and tokens of a divided rate were kept beside the reserves that now hold the whole bucket.

TestShrunkFleetKeepsTheBound covers the change of a fleet from 64 to 8 nodes. It does not fail before: 547 are admitted in a window then and 543 now, of 680.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -346,7 +346,10 @@
 	a.shareUpdatedAt = now
 	rate, size := d.fleetBucket(a.limit)
 	nodes := float64(d.fleet.View().Known)
-	a.pooled = isPooled(size, nodes)
+	if pooled := isPooled(size, nodes); pooled != a.pooled {
+		// The tokens are now in the reserves, or were until now.
+		a.pooled, a.tokens, a.refilledAt = pooled, 0, now
+	}
 	if a.pooled {
 		a.rate, a.size = 0, 0
 		return
--- a/allocator/pooled_test.go
+++ b/allocator/pooled_test.go
@@ -199,3 +199,36 @@
 		})
 	}
 }
+
+// TestShrunkFleetKeepsTheBound guards against buckets that are full at once when a fleet
+// shrinks, so that a rate which was pooled is divided. Load pattern: a workspace sends
+// ten times its rate, at first to the nodes that go, then to the others.
+func TestShrunkFleetKeepsTheBound(t *testing.T) {
+	const rate, burst, left = 100.0, 100.0, 8
+	bound := int((rate*allowance.Window.Seconds()+burst)*(1+allowance.Overage) + allowance.Slack)
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		rng := rand.New(rand.NewPCG(7, 8))
+		f := newFleet(t, 64, rate, burst)
+		time.Sleep(5 * time.Second)
+		shrunk := false
+		o := f.sendTraffic(rng, func(time.Duration) float64 { return 10 * rate }, func(d time.Duration) int {
+			// The nodes that are left have been idle for some time.
+			if d > 500*time.Millisecond && d < 8*time.Second {
+				return left + rng.IntN(64-left)
+			}
+			return rng.IntN(left)
+		}, 16*time.Second, func(d time.Duration) {
+			if d > 8*time.Second && !shrunk {
+				shrunk = true
+				members := map[string]*schema.Member{}
+				for _, n := range f.nodes[:left] {
+					members[n.name] = &schema.Member{Name: n.name, Status: schema.Status_STATUS_ALIVE}
+				}
+				f.view = gossiper.NewView(members)
+			}
+		})
+		t.Logf("at most %d admitted in a window, bound %d", o.maxInWindow, bound)
+		g.Expect(o.maxInWindow).To(BeNumerically("<=", bound))
+	})
+}
