--- a/attacher/registrar_test.go
+++ b/attacher/registrar_test.go
@@ -86,6 +86,19 @@
 	return t.received[address]
 }
 
+// startRegistrar runs a registrar and its beaconer, and returns a function that stops them.
+func startRegistrar(d *fakeDirectory, b *beaconer.Beaconer, self Entry) (stop func()) {
+	r := &registrar{d, b, reporter.New(io.Discard, self.Name, log.InfoLevel), self, func() {}}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	group.Go(func() { r.run(ctx) })
+	group.Go(func() { b.Run(ctx) })
+	return func() {
+		cancel()
+		group.Wait()
+	}
+}
+
 // TestRegistrationAfterRestore guards against new nodes that find nobody in the
 // directory: an entry that the platform acknowledged is gone once the platform has come
 // back from a copy older than it, and must be written again. Nodes that registered
@@ -124,13 +137,7 @@
 				transport := &recordingTransport{received: map[string]bool{}}
 				b := beaconer.New(&schema.Member{Name: "node-1", Beacon: "10.0.0.1:7000"}, transport, noopBeacons{}, time.Second)
 				self := Entry{"node-1", "10.0.0.1:7000"}
-				r := &registrar{d, b, reporter.New(io.Discard, "node-1", log.InfoLevel), self, func() {}}
-				ctx, cancel := context.WithCancel(context.Background())
-				var group sync.WaitGroup
-				group.Go(func() { r.run(ctx) })
-				group.Go(func() { b.Run(ctx) })
-				defer group.Wait()
-				defer cancel()
+				defer startRegistrar(d, b, self)()
 				time.Sleep(time.Minute)
 				d.set(func(d *fakeDirectory) { g.Expect(d.writes).To(Equal(1)) })
 				d.set(c.restore)
@@ -171,13 +178,7 @@
 				}
 				transport := &recordingTransport{received: map[string]bool{}}
 				b := beaconer.New(&schema.Member{Name: self.Name, Beacon: self.Address}, transport, noopBeacons{}, time.Second)
-				r := &registrar{d, b, reporter.New(io.Discard, self.Name, log.InfoLevel), self, func() {}}
-				ctx, cancel := context.WithCancel(context.Background())
-				var group sync.WaitGroup
-				group.Go(func() { r.run(ctx) })
-				group.Go(func() { b.Run(ctx) })
-				defer group.Wait()
-				defer cancel()
+				defer startRegistrar(d, b, self)()
 				time.Sleep(time.Minute)
 				d.set(func(d *fakeDirectory) {
 					g.Expect(d.entries).To(HaveKeyWithValue(self.Name, self))
