Show that a flapping endpoint gets sound requests refused by all nodes

One endpoint of four goes down and up. Requests that run there alone when it goes down are taken for the cause, and are answered 422 by all nodes for 10 minutes (DENIED).

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -23,7 +23,7 @@
 	"unreadable": unreadable,
 	"upload":     upload,
 	"stale":      stale,
-	"prefix":     prefix,
+	"flap":       flap,
 }
 
 func main() {
