Refuse instance IDs that cannot be sent to other nodes

Cause: the ID came from the path unchecked into the remarks of the witness, and beaconer.encode panicked on it in the loop of the beaconer, as the stack in the log shows.

The encoder leaves out what it cannot encode in place of a panic, and logs it.

--- a/attacher/config_watcher.go
+++ b/attacher/config_watcher.go
@@ -207,3 +207,6 @@
 
 // NodeSilent does nothing; failed nodes don't affect the configuration.
 func (w *configWatcher) NodeSilent(*schema.Member) {}
+
+// BeaconReduced does nothing.
+func (w *configWatcher) BeaconReduced(error) {}
--- a/attacher/module.go
+++ b/attacher/module.go
@@ -266,6 +266,11 @@
 	l.reporter.Notice("node_silent", "peer", m.GetName(), "status", m.GetStatus().String())
 }
 
+// BeaconReduced logs that a beacon was sent without some of its content.
+func (l *beaconListener) BeaconReduced(err error) {
+	l.reporter.Event("beacon_reduced", "err", err)
+}
+
 // beaconFleet adapts the beaconer to the fleet interface of caller and responder.
 type beaconFleet struct{ *beaconer.Beaconer }
 
--- a/beaconer/beaconer.go
+++ b/beaconer/beaconer.go
@@ -76,6 +76,9 @@
 	BeaconReceived(from *schema.Member, b *schema.Beacon)
 	// NodeSilent is called when a node becomes silent.
 	NodeSilent(m *schema.Member)
+	// BeaconReduced is called when a beacon of this node is sent without some of its
+	// content, which cannot be encoded.
+	BeaconReduced(err error)
 }
 
 const (
--- a/beaconer/beaconer_test.go
+++ b/beaconer/beaconer_test.go
@@ -172,6 +172,23 @@
 	})
 }
 
+// TestRemarkThatCannotBeEncoded guards against a node whose process ends, or that others take
+// for failed, because its beacon holds text that is no valid UTF-8. Its upstream must stay
+// in use.
+func TestRemarkThatCannotBeEncoded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		nw := newNetwork()
+		defer nw.stopAll()
+		first, second := nw.start(0), nw.start(1, 0)
+		time.Sleep(time.Second)
+		first.remarks.Store(&[]*schema.Remark{{Instance: &schema.Instance{Id: "i-\xff\xfe"}, Left: true}})
+		first.Announce()
+		time.Sleep(10 * time.Second)
+		g.Expect(second.View().Service("orders")).To(HaveLen(2))
+	})
+}
+
 // remarkListener keeps the remarks in received beacons.
 type remarkListener struct {
 	mu      sync.Mutex
@@ -184,6 +201,7 @@
 	l.remarks = append(l.remarks, b.GetRemarks()...)
 }
 func (*remarkListener) NodeSilent(*schema.Member) {}
+func (*remarkListener) BeaconReduced(error)       {}
 
 // TestMembershipChanges guards against nodes that stay eligible for calls after
 // they failed, or that are lost for good after a partition, a restart or lost
--- a/beaconer/encode.go
+++ b/beaconer/encode.go
@@ -67,7 +67,7 @@
 	if b.number%neighborsEvery == 0 {
 		beacon.Neighbors = b.someNeighbors()
 	}
-	return encode(beacon)
+	return b.encode(beacon)
 }
 
 // someNeighbors returns some nodes that are not silent.
@@ -84,11 +84,33 @@
 	return list
 }
 
-func encode(beacon *schema.Beacon) []byte {
+// reductions remove parts of a beacon that cannot be encoded, one after the other. Their
+// content comes from other processes.
+var reductions = []func(*schema.Beacon){
+	func(m *schema.Beacon) {
+		m.Usages, m.Profiles, m.Inflows, m.Remarks, m.Suspicions, m.Neighbors = nil, nil, nil, nil, nil, nil
+	},
+	func(m *schema.Beacon) {
+		if m.GetMember() != nil {
+			m.Member.Endpoints = nil
+		}
+	},
+}
+
+// encode encodes a beacon. It leaves out what cannot be encoded, since other nodes take a
+// node that sends no beacon for failed. The result is empty if the rest cannot be encoded
+// either.
+func (b *Beaconer) encode(beacon *schema.Beacon) []byte {
 	data, err := proto.Marshal(beacon)
-	if err != nil {
-		// A message built by this package can always be encoded.
-		panic(err)
+	for i := 0; err != nil; i++ {
+		for _, l := range b.listeners {
+			l.BeaconReduced(err)
+		}
+		if i == len(reductions) {
+			return nil
+		}
+		reductions[i](beacon)
+		data, err = proto.Marshal(beacon)
 	}
 	return data
 }
--- a/beaconer/relay.go
+++ b/beaconer/relay.go
@@ -225,14 +225,14 @@
 	}
 	group, foreign := b.relay.group, b.relay.foreign
 	b.relay.group, b.relay.foreign = nil, nil
-	for _, digest := range encodeDigests(slices.Concat(group, foreign), false) {
+	for _, digest := range b.encodeDigests(slices.Concat(group, foreign), false) {
 		for name := range b.relay.subscribers {
 			if p := b.peers[name]; p != nil {
 				b.transport.Send(p.address, digest)
 			}
 		}
 	}
-	for _, digest := range encodeDigests(group, true) {
+	for _, digest := range b.encodeDigests(group, true) {
 		for _, p := range b.peers {
 			if !p.silent && p.member.GetRelaying() {
 				b.transport.Send(p.address, digest)
@@ -242,7 +242,7 @@
 }
 
 // encodeDigests returns datagrams with the given beacons.
-func encodeDigests(list []*schema.Relayed, forGroup bool) [][]byte {
+func (b *Beaconer) encodeDigests(list []*schema.Relayed, forGroup bool) [][]byte {
 	var digests [][]byte
 	for len(list) > 0 {
 		size, n := 0, 0
@@ -250,7 +250,7 @@
 			size += proto.Size(list[n])
 			n++
 		}
-		digests = append(digests, encode(&schema.Beacon{Relay: forGroup, Relayed: list[:n]}))
+		digests = append(digests, b.encode(&schema.Beacon{Relay: forGroup, Relayed: list[:n]}))
 		list = list[n:]
 	}
 	return digests
--- a/supervisor/confirmation.go
+++ b/supervisor/confirmation.go
@@ -67,7 +67,7 @@
 	s.mu.Lock()
 	s.lastProbe = time.Now()
 	s.mu.Unlock()
-	if err != nil || health.ID == "" {
+	if err != nil || health.ID == "" || !s.isValidID(health.ID, "health check") {
 		return
 	}
 	if s.confirm(health) {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -123,6 +123,8 @@
 // Reporter logs events.
 type Reporter interface {
 	Notice(event string, fields ...any)
+	// Event is like Notice, for events whose rate others determine.
+	Event(event string, fields ...any)
 }
 
 // Options are the settings and dependencies of a Supervisor.
@@ -185,7 +187,7 @@
 
 // Report applies a report of the upstream.
 func (s *Supervisor) Report(r Report) {
-	if s.applyReport(r) {
+	if s.isValidID(r.ID, "report") && s.applyReport(r) {
 		s.options.OnChange()
 	}
 }
@@ -282,6 +284,9 @@
 
 // Leave records that an instance of the upstream is leaving.
 func (s *Supervisor) Leave(id string, born int64) {
+	if !s.isValidID(id, "leave") {
+		return
+	}
 	s.mu.Lock()
 	if born == 0 && s.current.id == id {
 		born = s.current.born
@@ -417,6 +422,9 @@
 
 // ObserveStatus records what an instance stated about itself in a response.
 func (s *Supervisor) ObserveStatus(id string, born int64, status forwarder.UpstreamStatus) {
+	if !s.isValidID(id, "response") {
+		return
+	}
 	s.mu.Lock()
 	stated := instance{id, born}
 	changed := status.Leaving && s.leave(stated, "stated in a response")
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -84,6 +84,9 @@
 	return func(*supervisor.Supervisor, *upstream) { time.Sleep(d) }
 }
 
+// unreadableID is an ID that is no valid UTF-8 text.
+const unreadableID = "i-\xff\xfe"
+
 // TestCurrentInstance guards against requests to an instance that has left, is
 // unreachable or was replaced. This can happen when reports arrive late, twice or
 // from earlier instances, or when the node itself has just started.
@@ -143,6 +146,12 @@
 		"an instance that leaves although its health check succeeds": {
 			{healthyAndLeaving("a"), none}, {report("a", 0, 1, false), none},
 		},
+		"a report whose ID cannot be sent to other nodes": {
+			{healthy("a"), ok}, {report(unreadableID, 10, 1, true), ok}, {report(unreadableID, 20, 1, false), ok}, {leave(unreadableID, 20), ok}, {report("a", 10, 1, false), ok},
+		},
+		"a health check whose ID cannot be sent to other nodes": {
+			{healthy(unreadableID), none}, {healthy("a"), ok},
+		},
 		"failed requests alone keep the upstream in use": {
 			{healthy("a"), ok}, {observe(forwarder.Failed), ok}, {observe(forwarder.Failed), ok},
 		},
@@ -307,3 +316,27 @@
 		g.Expect(rate()).To(BeZero())
 	})
 }
+
+// TestUnreadableIDIsNotRemembered guards against remarks that cannot be encoded: the ID of a
+// report may hold any bytes, and remarks are sent in beacons.
+func TestUnreadableIDIsNotRemembered(t *testing.T) {
+	cases := map[string]func(s *supervisor.Supervisor){
+		"draining": func(s *supervisor.Supervisor) {
+			s.Report(supervisor.Report{ID: unreadableID, Born: 1, Sequence: 1, Service: "orders", Draining: true})
+		},
+		"leaves": func(s *supervisor.Supervisor) { s.Leave(unreadableID, 1) },
+		"states in a response that it leaves": func(s *supervisor.Supervisor) {
+			s.ObserveStatus(unreadableID, 1, forwarder.UpstreamStatus{Leaving: true})
+		},
+	}
+	for name, act := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			memory := witness.New()
+			act(supervisor.New(supervisor.Options{
+				Service: "orders", Interval: time.Second, Prober: &upstream{}, Memory: memory, Reporter: reporter.Discard{}, OnChange: func() {},
+			}))
+			g.Expect(memory.Remarks()).To(BeEmpty())
+		})
+	}
+}
