Carry the ID of a request between nodes as bytes

What callers saw: a request whose ID is no valid UTF-8 was answered 502.

Cause: the envelope held the ID as a string, which protobuf refuses to encode then; encodeHeader returned an empty header, and the other node took the call for one without metadata.

Change: the field is bytes, which has the same encoding for IDs that were accepted before, so that nodes of both builds understand each other.

--- a/forwarder/dispatcher.go
+++ b/forwarder/dispatcher.go
@@ -303,7 +303,7 @@
 	envelope := &schema.Envelope{
 		Attempt:     a.id,
 		Incarnation: a.target.Member.GetIncarnation(),
-		Request:     parent.ID,
+		Request:     []byte(parent.ID),
 		Workspace:   parent.Workspace,
 		Service:     call.Service,
 		Origin:      call.Origin,
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -137,6 +137,9 @@
 	suspicion *schema.Suspicion
 }
 
+// requestID returns the identifier that the caller has given to the request.
+func (rc *relayCall) requestID() string { return string(rc.envelope.GetRequest()) }
+
 // ServeHTTP sends a call to the upstream, or refuses it. The report in the
 // response header states whether the call has run.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
@@ -145,7 +148,7 @@
 		r.options.Refuser.Refuse(w, refuser.BadRequest, refuser.Detail{Note: "The envelope header is missing or malformed."})
 		return
 	}
-	r.options.Dialect.SetResponseHeaders(w.Header(), rc.envelope.GetRequest())
+	r.options.Dialect.SetResponseHeaders(w.Header(), rc.requestID())
 	if code := r.accept(rc); code != refuser.None {
 		r.refuse(w, rc, code)
 		return
@@ -185,7 +188,7 @@
 		return refuser.AttemptFenced
 	}
 	rc.request = &tracker.Request{
-		ID:        e.GetRequest(),
+		ID:        rc.requestID(),
 		Route:     e.GetRoute(),
 		Workspace: e.GetWorkspace(),
 		Class:     e.GetClass(),
@@ -388,12 +391,12 @@
 	report := r.report(rc)
 	report.Outcome = code.Info().Outcome
 	report.Code = uint32(code)
-	r.options.Reporter.Event("not_answered", "request", rc.envelope.GetRequest(), "attempt", rc.envelope.GetAttempt(),
+	r.options.Reporter.Event("not_answered", "request", rc.requestID(), "attempt", rc.envelope.GetAttempt(),
 		"code", uint32(code), "reason", code.Info().Name, "service", rc.envelope.GetService(), "upstream", rc.upstream.ID,
 		"left", rc.envelope.GetLeft().AsDuration(), "offered", rc.offered,
 		"active", report.GetEndpoint().GetActive(), "queued", report.GetEndpoint().GetQueued(), "limit", report.GetEndpoint().GetLimit())
 	w.Header().Set(headerReport, encodeHeader(report))
-	r.options.Refuser.Refuse(w, code, refuser.Detail{Request: rc.envelope.GetRequest()})
+	r.options.Refuser.Refuse(w, code, refuser.Detail{Request: rc.requestID()})
 }
 
 // Describer is a ConcurrencyLimiter that describes its load for other nodes.
