Require a report for a new instance at a used address

Cause: after the loss of its upstream, a node took whatever instance passed the health check for its own; the check states no service. The log shows report_ignored with the other service, and 12 ms later upstream_confirmed of the same ID.

Change: such an instance is used once a report names it for the service of the node. A node that has just started still trusts a health check, unless it has found the address vacant. A report for another service counts against an instance that only a health check has named.

--- a/supervisor/confirmation.go
+++ b/supervisor/confirmation.go
@@ -66,6 +66,7 @@
 	}
 	s.mu.Lock()
 	s.lastProbe = time.Now()
+	s.vacated = s.vacated || errors.Is(err, ErrAddressVacant)
 	s.mu.Unlock()
 	if err != nil || health.ID == "" || !s.isValidID(health.ID, "health check") {
 		return
@@ -75,11 +76,30 @@
 	}
 }
 
+// isOwn reports whether an instance that a health check has found belongs to the service of
+// the node. An address goes to an instance of another service some time after its last
+// one has ended, so an instance that was not there when the node started must be
+// reported first. The caller holds the lock.
+func (s *Supervisor) isOwn(id string) bool {
+	switch {
+	case id == s.foreign.id:
+		return false
+	case id == s.current.id:
+		return true
+	default:
+		return s.current == (instance{}) && !s.vacated
+	}
+}
+
 // confirm records that an upstream is healthy. It returns false if that upstream is
-// leaving.
+// leaving, or may belong to another service.
 func (s *Supervisor) confirm(h Health) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.isOwn(h.ID) {
+		s.options.Reporter.Event("upstream_unreported", "upstream", h.ID, "before", s.current.id, "foreign", h.ID == s.foreign.id)
+		return false
+	}
 	found := instance{id: h.ID}
 	if s.current.id == h.ID {
 		found = s.current
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -95,10 +95,14 @@
 // yet.
 var ErrNoHealthCheck = errors.New("health check is not configured yet")
 
+// ErrAddressVacant means that nothing listens at the address of an upstream.
+var ErrAddressVacant = errors.New("nothing listens at the address of the upstream")
+
 // Prober checks the health of an upstream.
 type Prober interface {
 	// Probe returns what a healthy upstream states about itself. It returns
-	// ErrNoHealthCheck if the health check is not configured yet.
+	// ErrNoHealthCheck if the health check is not configured yet, and ErrAddressVacant if
+	// nothing listens at the address.
 	Probe(ctx context.Context, address string) (Health, error)
 }
 
@@ -163,6 +167,13 @@
 	// trustReports is true from the first successful health check until confirmed
 	// becomes false. Meanwhile new instances need no health check.
 	trustReports bool
+	// reported is true once a report has named the service of the current instance. A
+	// health check states no service.
+	reported bool
+	// vacated is true once a health check has found that nothing listens at the address.
+	vacated bool
+	// foreign is the instance that was last reported for another service.
+	foreign      instance
 	lastProbe    time.Time
 	failureRatio float64
 	// lastOutcome is the time of the last update of failureRatio.
@@ -198,9 +209,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	reported := instance{r.ID, r.Born}
-	if left := s.options.Memory.Departed(r.ID, r.Born); left || r.Service != s.options.Service {
+	left, foreign := s.options.Memory.Departed(r.ID, r.Born), r.Service != s.options.Service
+	if left || foreign {
 		s.options.Reporter.Notice("report_ignored", "upstream", r.ID, "born", r.Born, "service", r.Service, "left", left)
-		return false
+		return foreign && s.rejectForeign(reported)
 	}
 	now := time.Now()
 	if reported != s.current {
@@ -213,6 +225,10 @@
 		return false
 	}
 	ready := s.ready()
+	s.reported = true
+	if s.foreign.id == r.ID {
+		s.foreign = instance{}
+	}
 	s.lastSequence, s.lastSeen, s.coldUntil = r.Sequence, now, now.Add(r.Cold)
 	if r.Slots > 0 && r.Slots != s.slots {
 		s.slots = r.Slots
@@ -224,6 +240,27 @@
 	return ready != s.ready()
 }
 
+// rejectForeign records that an instance belongs to another service. It reports whether the
+// upstream stopped accepting requests: a health check may have found that instance at the
+// address. A report of the same ID for the service of the node has precedence, since
+// reports may come from other writers. The caller holds the lock.
+func (s *Supervisor) rejectForeign(i instance) bool {
+	s.foreign = i
+	if s.current.id != i.id || s.reported {
+		return false
+	}
+	ready := s.ready()
+	s.loseConfirmation("instance of another service")
+	return ready
+}
+
+// loseConfirmation stops the use of the current instance until it is confirmed again. The
+// caller holds the lock.
+func (s *Supervisor) loseConfirmation(reason string) {
+	s.confirmed, s.trustReports = false, false
+	s.options.Reporter.Notice("upstream_lost", "upstream", s.current.id, "why", reason, "report_age", time.Since(s.lastSeen))
+}
+
 // replaceInstance makes next the current instance. The caller holds the lock.
 func (s *Supervisor) replaceInstance(next instance, now time.Time) {
 	// The start time of an instance found by a health check is not known at first.
@@ -234,7 +271,7 @@
 	}
 	s.options.Reporter.Notice("upstream_started", "upstream", next.id, "born", next.born, "before", s.current.id)
 	s.confirmed = s.confirmed && sameInstance || s.trustReports
-	s.draining = s.draining && sameInstance
+	s.draining, s.reported = s.draining && sameInstance, false
 	s.current, s.lastSequence, s.lastSeen, s.failureRatio = next, 0, now, 0
 	s.rejections = rejections{}
 	if s.draining {
@@ -406,9 +443,11 @@
 	}
 	lost := s.confirmed && (o == forwarder.Unreachable || o == forwarder.Reassigned)
 	if lost {
-		s.confirmed, s.trustReports = false, false
-		s.options.Reporter.Notice("upstream_lost", "upstream", s.current.id, "reassigned", o == forwarder.Reassigned,
-			"report_age", time.Since(s.lastSeen))
+		reason := "unreachable"
+		if o == forwarder.Reassigned {
+			reason = "another instance has its address"
+		}
+		s.loseConfirmation(reason)
 	}
 	s.mu.Unlock()
 	if lost {
--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -24,18 +24,30 @@
 	mu     sync.Mutex
 	id     string
 	status forwarder.UpstreamStatus
+	// vacant makes health checks find that nothing listens at the address.
+	vacant bool
 }
 
 // set changes the response to health checks.
 func (u *upstream) set(id string, s forwarder.UpstreamStatus) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.id, u.status = id, s
+	u.id, u.status, u.vacant = id, s, false
+}
+
+// vacate ends the upstream, so that nothing listens at its address.
+func (u *upstream) vacate() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.vacant = true
 }
 
 func (u *upstream) Probe(context.Context, string) (supervisor.Health, error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.vacant {
+		return supervisor.Health{}, supervisor.ErrAddressVacant
+	}
 	if u.id == "" {
 		return supervisor.Health{}, errors.New("upstream is not healthy")
 	}
@@ -54,6 +66,15 @@
 	}
 }
 
+// foreignReport is a report that names another service.
+func foreignReport(id string, born int64) func(*supervisor.Supervisor, *upstream) {
+	return func(s *supervisor.Supervisor, _ *upstream) {
+		s.Report(supervisor.Report{ID: id, Born: born, Sequence: 1, Service: "stock", Slots: 20})
+	}
+}
+
+func vacate(_ *supervisor.Supervisor, u *upstream) { u.vacate() }
+
 func healthy(id string) func(*supervisor.Supervisor, *upstream) {
 	return func(_ *supervisor.Supervisor, u *upstream) { u.set(id, forwarder.UpstreamStatus{}) }
 }
@@ -146,6 +167,57 @@
 		"an instance that leaves although its health check succeeds": {
 			{healthyAndLeaving("a"), none}, {report("a", 0, 1, false), none},
 		},
+		"an instance of another service has the address of a lost one": {
+			{healthy("a"), ok},
+			{report("a", 10, 1, false), ok},
+			{vacate, ok},
+			{observe(forwarder.Unreachable), none},
+			{foreignReport("z", 20), none},
+			{healthy("z"), none},
+			{wait(20 * time.Second), none},
+			{report("b", 30, 1, false), none},
+			{healthy("b"), ok},
+		},
+		"an unknown instance has the address of a lost one, before any report": {
+			{healthy("a"), ok},
+			{report("a", 10, 1, false), ok},
+			{vacate, ok},
+			{observe(forwarder.Unreachable), none},
+			{healthy("z"), none},
+			{foreignReport("z", 20), none},
+			{wait(20 * time.Second), none},
+		},
+		"another instance of the service has the address of a lost one": {
+			{healthy("a"), ok},
+			{report("a", 10, 1, false), ok},
+			{observe(forwarder.Reassigned), ok},
+			{healthy(""), ok},
+			{observe(forwarder.Unreachable), none},
+			{healthy("b"), none},
+			{report("b", 20, 1, false), ok},
+		},
+		"a node starts before an instance of another service": {
+			{vacate, none}, {healthy("z"), none}, {foreignReport("z", 20), none}, {wait(20 * time.Second), none},
+		},
+		"a node starts before its upstream": {
+			{vacate, none}, {healthy("a"), none}, {report("a", 10, 1, false), ok},
+		},
+		"a node starts beside an instance of another service": {
+			{healthy("z"), ok}, {foreignReport("z", 20), none}, {wait(20 * time.Second), none}, {report("b", 30, 1, false), none}, {healthy("b"), ok},
+		},
+		"a report of another writer names the upstream in use": {
+			{healthy("a"), ok}, {report("a", 10, 1, false), ok}, {foreignReport("a", 10), ok}, {foreignReport("a", 20), ok},
+		},
+		"an instance of another service has the ID of a lost one": {
+			{healthy("a"), ok},
+			{report("a", 10, 1, false), ok},
+			{vacate, ok},
+			{observe(forwarder.Unreachable), none},
+			{foreignReport("a", 20), none},
+			{healthy("a"), none},
+			{wait(20 * time.Second), none},
+			{report("a", 30, 1, false), ok},
+		},
 		"a report whose ID cannot be sent to other nodes": {
 			{healthy("a"), ok}, {report(unreadableID, 10, 1, true), ok}, {report(unreadableID, 20, 1, false), ok}, {leave(unreadableID, 20), ok}, {report("a", 10, 1, false), ok},
 		},
