Answer HEAD requests

What callers saw: a HEAD whose answer states a length ran at the upstream, and the caller's kept connection was closed without an answer (LOST, each time).

Cause: nodes carry each request in a POST. The node beside the upstream sent the stated Content-Length without a body, which net/http answers by closing the connection, and the entry took that for a truncated answer.

Change: a HEAD travels between nodes as a HEAD, so that both ends of the connection know that no body follows.

--- a/forwarder/dispatcher.go
+++ b/forwarder/dispatcher.go
@@ -326,7 +326,17 @@
 	header := maps.Clone(call.Header)
 	header[HeaderEnvelope] = []string{encodeHeader(envelope)}
 	header[headerMethod] = []string{call.Method}
-	return newRequest(ctx, http.MethodPost, call.URL, a.target.Member.GetAddress(), header, call.Body)
+	return newRequest(ctx, nodeMethod(call.Method), call.URL, a.target.Member.GetAddress(), header, call.Body)
+}
+
+// nodeMethod returns the method of the request between nodes that carries a request of a
+// caller. The answer to a HEAD states the length of a body that does not follow, which
+// both ends of a connection must know.
+func nodeMethod(method string) string {
+	if method == http.MethodHead {
+		return method
+	}
+	return http.MethodPost
 }
 
 // newRequest returns a request for an address with the path and query of a URL.
