End the checks of an attempt when its response begins

Cause: a check that was under way when the response began started the timer again after stop. The checks went on, and once two of them found the attempt done at the other node, which had sent all of it, they canceled it while the caller was still reading.

Change: after stop, a watch neither starts its timer nor cancels the attempt. If it has canceled the attempt as the response began, the attempt counts as failed, so that the caller gets a status and not a truncated answer.

--- a/forwarder/attemptwatch.go
+++ b/forwarder/attemptwatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"sync"
 	"time"
 
 	"quetzalhub/balancer"
@@ -31,9 +32,16 @@
 	attempt    *attempt
 	timer      *time.Timer
 	ctx        context.Context
-	// finalProgress receives the progress for which the watch canceled the
-	// attempt.
-	finalProgress chan schema.Progress
+
+	// mu protects the fields below, since the response may arrive during a check.
+	mu sync.Mutex
+	// stopped is true once the attempt has ended or its response has begun.
+	stopped bool
+	// finalProgress is the progress for which the watch canceled the attempt, if it did.
+	finalProgress schema.Progress
+
+	// The fields below are accessed only by run.
+
 	// unanswered is the number of checks without a usable answer since the
 	// receiver last reported the attempt as running.
 	unanswered int
@@ -45,7 +53,7 @@
 
 // startWatch starts checking an attempt after the check interval.
 func (d *Dispatcher) startWatch(ctx context.Context, cancel context.CancelFunc, a *attempt) *attemptWatch {
-	w := &attemptWatch{dispatcher: d, cancel: cancel, attempt: a, ctx: ctx, finalProgress: make(chan schema.Progress, 1)}
+	w := &attemptWatch{dispatcher: d, cancel: cancel, attempt: a, ctx: ctx}
 	// run uses the timer, so it is started only once it is assigned.
 	w.timer = time.AfterFunc(math.MaxInt64, w.run)
 	w.schedule()
@@ -55,6 +63,11 @@
 // schedule starts the timer of the next check. The timers of all attempts are aligned,
 // since most attempts end before their first check.
 func (w *attemptWatch) schedule() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
 	w.timer.Reset(repeater.Align(w.dispatcher.checkInterval, w.dispatcher.checkInterval/2))
 }
 
@@ -72,10 +85,17 @@
 		w.schedule()
 		return
 	}
-	select {
-	case w.finalProgress <- progress:
-	default:
+	w.giveUp(progress)
+}
+
+// giveUp cancels the attempt, unless its response has begun.
+func (w *attemptWatch) giveUp(p schema.Progress) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
 	}
+	w.stopped, w.finalProgress = true, p
 	w.cancel()
 }
 
@@ -116,16 +136,14 @@
 	}
 }
 
-// stop ends the watch and returns the progress for which it canceled the
-// attempt, or PROGRESS_UNSPECIFIED if it did not.
+// stop ends the watch, also if a check is under way. It returns the progress for which the
+// watch has canceled the attempt, or PROGRESS_UNSPECIFIED if it has not.
 func (w *attemptWatch) stop() schema.Progress {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
 	w.timer.Stop()
-	select {
-	case p := <-w.finalProgress:
-		return p
-	default:
-		return schema.Progress_PROGRESS_UNSPECIFIED
-	}
+	return w.finalProgress
 }
 
 // expiredCheckTimeout is the timeout of a check after the deadline has passed. It
--- a/forwarder/dispatcher.go
+++ b/forwarder/dispatcher.go
@@ -279,9 +279,15 @@
 	watch := d.startWatch(ctx, cancel, a)
 	resp, err := d.transport.RoundTrip(d.newNodeRequest(ctx, a))
 	progress := watch.stop()
+	if err == nil && progress != schema.Progress_PROGRESS_UNSPECIFIED {
+		// The watch gave up the attempt while its response began.
+		resp.Body.Close()
+		err = context.Canceled
+	}
 	if err != nil {
 		cancel()
-		err = d.attemptError(ctx, a, progress, transporter.Sent(err))
+		sent := resp != nil || transporter.Sent(err)
+		err = d.attemptError(ctx, a, progress, sent)
 		return nil, refuser.CodeOf(err).Info().Outcome != schema.Outcome_OUTCOME_NOT_RUN, err
 	}
 	return d.handleResponse(a, resp, cancel)
