Bound the messages and heads that a node reads

What callers would see: the report of other operators, a process that runs out of memory because a faulty one sends bytes without end, and with it all requests on that host.

Cause: the generated RPC code reads messages whole, on both sides, and nothing around it set a bound. So another node, or whatever has its address now, could do this with the answer to a check, and any process with a call to the listeners for nodes and operators. Heads were bounded by the defaults of net/http, 1 MiB a connection and 10 MiB an answer of the store.

--- a/attacher/node.go
+++ b/attacher/node.go
@@ -132,7 +132,7 @@
 		if err != nil {
 			return errors.Annotatef(err, "listening on %s", l.address)
 		}
-		l.server.ReadHeaderTimeout = readHeaderTimeout
+		l.server.ReadHeaderTimeout, l.server.MaxHeaderBytes = readHeaderTimeout, caller.MaxHeadBytes
 		l.server.ErrorLog = stdlog.New(io.Discard, "", 0)
 		if l.server != n.callerServer {
 			n.internalServers = append(n.internalServers, l.server)
@@ -181,7 +181,7 @@
 // as control calls. Paths can't tell them apart, since a forwarded call has the
 // path that the caller chose.
 func (n *Node) peerHandler() http.Handler {
-	control := schema.NewPeerServer(n.parts.Traffic.responder)
+	control := http.MaxBytesHandler(schema.NewPeerServer(n.parts.Traffic.responder), caller.MaxMessageBytes)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(forwarder.HeaderEnvelope) != "" {
 			n.parts.Traffic.relay.ServeHTTP(w, r)
@@ -195,7 +195,7 @@
 	admin := schema.NewAdminServer(n.parts.Traffic.responder)
 	r := mux.NewRouter()
 	r.Handle("/debug/vars", n.parts.Recorder).Methods(http.MethodGet)
-	r.PathPrefix(admin.PathPrefix()).Handler(admin)
+	r.PathPrefix(admin.PathPrefix()).Handler(http.MaxBytesHandler(admin, caller.MaxMessageBytes))
 	return r
 }
 
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -67,7 +67,8 @@
 // New returns a caller for the named node. A nil config means plaintext
 // connections.
 func New(name string, c Confirmer, l Local, config *tls.Config) *Caller {
-	pooled := &http.Transport{TLSClientConfig: config, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout}
+	pooled := &http.Transport{TLSClientConfig: config, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: MaxHeadBytes}
+	unpooled := &http.Transport{TLSClientConfig: config, DisableKeepAlives: true, MaxResponseHeaderBytes: MaxHeadBytes}
 	scheme := "http://"
 	if config != nil {
 		scheme = "https://"
@@ -77,8 +78,8 @@
 		confirmer: c,
 		local:     l,
 		scheme:    scheme,
-		client:    &http.Client{Transport: pooled},
-		unpooled:  &http.Client{Transport: &http.Transport{TLSClientConfig: config, DisableKeepAlives: true}},
+		client:    &http.Client{Transport: boundedTransport{pooled}},
+		unpooled:  &http.Client{Transport: boundedTransport{unpooled}},
 		fetches:   make(chan string, maxQueuedPulls),
 		syncs:     make(chan string, maxQueuedPulls),
 	}
--- a/server/node.go
+++ b/server/node.go
@@ -148,6 +148,7 @@
 		s := &http.Server{
 			Handler:           h.handler,
 			ReadHeaderTimeout: readHeaderTimeout,
+			MaxHeaderBytes:    caller.MaxHeadBytes,
 			ErrorLog:          n.logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
 		}
 		n.servers = append(n.servers, s)
@@ -173,7 +174,7 @@
 // header. It can't use the path, since callers choose the paths of their
 // requests.
 func (n *Node) peerHandler() http.Handler {
-	control := schema.NewPeerServer(n.parts.Responder)
+	control := http.MaxBytesHandler(schema.NewPeerServer(n.parts.Responder), caller.MaxMessageBytes)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(forwarder.HeaderEnvelope) != "" {
 			n.parts.Traffic.relay.ServeHTTP(w, r)
@@ -187,7 +188,7 @@
 	admin := schema.NewAdminServer(n.parts.Responder)
 	r := mux.NewRouter()
 	r.Handle("/debug/vars", n.parts.Recorder).Methods(http.MethodGet)
-	r.PathPrefix(admin.PathPrefix()).Handler(admin)
+	r.PathPrefix(admin.PathPrefix()).Handler(http.MaxBytesHandler(admin, caller.MaxMessageBytes))
 	return r
 }
 
