Ignore SIGHUP until an attached node handles it

What operators saw: a node that got SIGHUP while it was starting ended, and was started again; in series of restarts and signals that takes it away from its callers twice.

Cause: SIGHUP ends a process by default, and the node set its handler only once all parts were built.

What remains is the start of the runtime before main.

--- a/cmd/quetzald/main.go
+++ b/cmd/quetzald/main.go
@@ -13,7 +13,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -50,6 +52,9 @@
 		os.Exit(2)
 	}
 	if *attach {
+		// The platform may send the signal, which ends a process by default, before the node
+		// handles it.
+		signal.Ignore(syscall.SIGHUP)
 		runAttached(load(*settings), *settings)
 		return
 	}
--- /dev/null
+++ b/cmd/quetzald/signal_test.go
@@ -0,0 +1,72 @@
+package main_test
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// TestHangupWhileStarting guards against an attached node that ends because the platform
+// tells it, by SIGHUP, of a change of the settings while it is still starting. The settings
+// come from a pipe, so that the signal arrives before they are read.
+func TestHangupWhileStarting(t *testing.T) {
+	g := NewWithT(t)
+	folder := t.TempDir()
+	daemon, settings := filepath.Join(folder, "quetzald"), filepath.Join(folder, "node.ini")
+	out, err := exec.Command("go", "build", "-o", daemon, ".").CombinedOutput()
+	g.Expect(err).NotTo(HaveOccurred(), string(out))
+	g.Expect(syscall.Mkfifo(settings, 0o600)).To(Succeed())
+	callers := freeAddress(g)
+	cmd := exec.Command(daemon, "-attach", "-settings", settings)
+	g.Expect(cmd.Start()).To(Succeed())
+	ended := make(chan error, 1)
+	go func() { ended <- cmd.Wait() }()
+	defer func() { _ = cmd.Process.Kill() }()
+	pipe, err := os.OpenFile(settings, os.O_WRONLY, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(cmd.Process.Signal(syscall.SIGHUP)).To(Succeed())
+	g.Consistently(ended, 300*time.Millisecond).ShouldNot(Receive())
+	_, err = fmt.Fprintf(pipe, `[node]
+name = node-1
+domain = north
+callers = %s
+peers = 127.0.0.1:0
+local = 127.0.0.1:0
+admin = 127.0.0.1:0
+beacon = 127.0.0.1:0
+[platform]
+address = 127.0.0.1:1
+[upstream]
+service = orders
+address = 127.0.0.1:1
+heartbeat = 1s
+[bounds]
+grace = 1s
+`, callers)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(pipe.Close()).To(Succeed())
+	g.Eventually(func() error {
+		conn, err := net.Dial("tcp", callers)
+		if err == nil {
+			err = conn.Close()
+		}
+		return err
+	}, 10*time.Second).Should(Succeed())
+	g.Expect(cmd.Process.Signal(syscall.SIGTERM)).To(Succeed())
+	g.Eventually(ended, 10*time.Second).Should(Receive(BeNil()))
+}
+
+// freeAddress returns an address on loopback that is free.
+func freeAddress(g *WithT) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
