Do not wait for unused connections in a planned stop

Cause: Shutdown of net/http waits up to five seconds for a connection that has not carried a request, which clients open ahead. The listeners are shut down in turn, so that the time for the following ones was used up, and requests there would be cut.

Change: such connections are closed 250 ms after the begin of the shutdown. requests_cut names the address of the listener.

--- a/attacher/node.go
+++ b/attacher/node.go
@@ -54,9 +54,9 @@
 	stopping atomic.Bool
 	// closing is true once the idle connections of callers are closed.
 	closing         atomic.Bool
-	callerServer    *http.Server
+	callerServer    *nodeServer
 	connections     *connectionLimiter
-	internalServers []*http.Server
+	internalServers []*nodeServer
 }
 
 // nodeParts are the dependencies of a node.
@@ -117,14 +117,14 @@
 func (n *Node) listen() error {
 	p, node := n.parts, n.parts.Settings.GetNode()
 	ready := func() bool { return p.Confirmer.Snapshot() != nil && !n.stopping.Load() }
-	n.callerServer = &http.Server{Handler: n.closeConnections(p.Traffic.entry), ConnState: n.connections.trackState}
+	n.callerServer = newNodeServer(n.closeConnections(p.Traffic.entry), n.connections.trackState)
 	listeners := []struct {
 		address string
-		server  *http.Server
+		server  *nodeServer
 	}{
-		{node.GetPeers(), &http.Server{Handler: n.peerHandler()}},
-		{node.GetLocal(), &http.Server{Handler: p.Platform.NewReportHandler(p.Supervisor, p.Reporter)}},
-		{node.GetAdmin(), &http.Server{Handler: p.Platform.NewReadinessHandler(ready, n.adminHandler())}},
+		{node.GetPeers(), newNodeServer(n.peerHandler(), nil)},
+		{node.GetLocal(), newNodeServer(p.Platform.NewReportHandler(p.Supervisor, p.Reporter), nil)},
+		{node.GetAdmin(), newNodeServer(p.Platform.NewReadinessHandler(ready, n.adminHandler()), nil)},
 		{node.GetCallers(), n.callerServer},
 	}
 	for _, l := range listeners {
@@ -133,6 +133,7 @@
 			return errors.Annotatef(err, "listening on %s", l.address)
 		}
 		l.server.ReadHeaderTimeout, l.server.MaxHeaderBytes = readHeaderTimeout, caller.MaxHeadBytes
+		l.server.Addr = l.address
 		l.server.ErrorLog = stdlog.New(io.Discard, "", 0)
 		if l.server != n.callerServer {
 			n.internalServers = append(n.internalServers, l.server)
@@ -142,7 +143,7 @@
 	return nil
 }
 
-func (n *Node) serve(s *http.Server, l net.Listener) {
+func (n *Node) serve(s *nodeServer, l net.Listener) {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		n.parts.Reporter.Notice("listener_lost", "address", l.Addr().String(), "err", err)
 	}
@@ -223,10 +224,10 @@
 	ctx, cancel := context.WithDeadline(context.Background(), at(shutdownFraction))
 	defer cancel()
 	n.closing.Store(true)
-	for i, s := range append([]*http.Server{n.callerServer}, n.internalServers...) {
+	for i, s := range append([]*nodeServer{n.callerServer}, n.internalServers...) {
 		// The connections of other nodes are closed after those of callers.
 		p.Traffic.upstreams.closing.Store(i > 0)
-		if err := s.Shutdown(ctx); err != nil {
+		if err := s.shutDown(ctx); err != nil {
 			p.Reporter.Notice("requests_cut", "address", s.Addr, "err", err)
 			if err := s.Close(); err != nil {
 				p.Reporter.Notice("listener_not_closed", "address", s.Addr, "err", err)
