Refuse late in a stop what may outlast the node

What callers saw: requests sent 3.0 to 3.75 s after the SIGTERM of a node ran at slow upstreams and were answered 504 at 5.0 s, when the node broke them off (LOST).

Cause: a stopping node took what could be expected to end by its latency objective, whatever its timeout allowed.

Change: from 0.6 of the stop on, and from 2.5 s on, a request is taken only if its deadline comes before the end of the node. Others are told that they have not run. Routes with timeouts of a second see no difference.

--- a/forwarder/lifetime.go
+++ b/forwarder/lifetime.go
@@ -9,6 +9,15 @@
 // begin of a stop to its end, 1/4, so that a node that stops quickly still serves some.
 const minRunDivisor = 4
 
+// Requests that may outlast the node are taken until longRequestRatio of the time from the
+// begin of a stop to its end, but for longRequestTime at most. Later ones are refused unless
+// their deadline comes before the end: a refused caller can go to another node, while a
+// request that is broken off may have run.
+const (
+	longRequestRatio = 0.6
+	longRequestTime  = 2500 * time.Millisecond
+)
+
 // Lifetime limits requests to the time for which a node serves them. The zero value, like
 // nil, sets no limit.
 type Lifetime struct {
@@ -25,7 +34,7 @@
 
 // Limit returns the deadline of a request, which is not later than the end of the node. It
 // returns false if the request can't be expected to end before, given its latency
-// objective.
+// objective, or if it comes late in the stop and may not end before.
 func (l *Lifetime) Limit(deadline time.Time, objective time.Duration) (time.Time, bool) {
 	if l == nil {
 		return deadline, true
@@ -34,6 +43,10 @@
 	if stop == nil || !stop.end.Before(deadline) {
 		return deadline, true
 	}
-	left := time.Until(stop.end)
-	return stop.end, left > 0 && left >= min(objective, stop.end.Sub(stop.begin)/minRunDivisor)
+	duration, elapsed := stop.end.Sub(stop.begin), time.Since(stop.begin)
+	if elapsed > min(time.Duration(longRequestRatio*float64(duration)), longRequestTime) {
+		return stop.end, false
+	}
+	left := duration - elapsed
+	return stop.end, left > 0 && left >= min(objective, duration/minRunDivisor)
 }
