Don't write an edit again when its ID may have left the state

Cause: after a lost response the editor looks for the ID of its write and writes again without it. The state keeps the last 64 IDs; after 64 writes of others the ID of an accepted write is gone. Ruled out: stale reads and errors after a write (docs/incidents/edited-twice.md).

The editor now keeps the version that the lost write would have made. If the state no longer says who made it, the outcome is unknown.

--- a/editor/editor.go
+++ b/editor/editor.go
@@ -77,12 +77,12 @@
 // If the response to a write is lost, the next attempt reads the state and looks for
 // the ID of the write. If the ID is missing, the change is written again under the
 // same ID. Each write is conditional on the version read before it, so that at most one
-// of them is accepted.
+// of them is accepted. If the state no longer keeps the ID of the write that was accepted
+// as the version in question, Edit returns ErrOutcomeUnknown.
 func (e *Editor) Edit(ctx context.Context, change func(*schema.State) error) (uint64, error) {
-	id := rand.Text()
-	responseLost := false
+	p := &pending{id: rand.Text()}
 	for range maxAttempts {
-		version, err := e.try(ctx, change, id)
+		version, err := e.try(ctx, change, p)
 		var changeErr *changeError
 		switch {
 		case err == nil:
@@ -91,16 +91,16 @@
 			return 0, changeErr.cause
 		case stderrors.Is(err, storer.ErrConflict):
 			continue
-		case stderrors.Is(err, errNoResponse):
-			responseLost = true
-		case !responseLost:
+		case stderrors.Is(err, ErrOutcomeUnknown):
+			return 0, ErrOutcomeUnknown
+		case p.lost == 0:
 			return 0, errors.Trace(err)
 		}
 		if !waitRetry(ctx) {
 			break
 		}
 	}
-	if responseLost {
+	if p.lost > 0 {
 		return 0, ErrOutcomeUnknown
 	}
 	return 0, errors.Annotatef(storer.ErrConflict, "gave up after %d attempts", maxAttempts)
@@ -124,22 +124,51 @@
 // Error returns the cause.
 func (c *changeError) Error() string { return c.cause.Error() }
 
-// try reads, changes and writes the state once. If the state already contains the
-// write with this ID, it returns the version of that write.
-func (e *Editor) try(ctx context.Context, change func(*schema.State) error, id string) (uint64, error) {
+// pending is an edit in progress.
+type pending struct {
+	id string
+	// lost is the version that the first write without a response would have made, or
+	// zero if no write's outcome is unknown.
+	lost uint64
+}
+
+// resolve looks for the writes of the edit in a state. It returns the version of the one
+// that was accepted, or zero if none was.
+func (p *pending) resolve(state *schema.State) (uint64, error) {
+	changes := state.GetChanges()
+	for _, c := range changes {
+		if c.GetId() == p.id {
+			return c.GetVersion(), nil
+		}
+	}
+	if p.lost == 0 || state.GetVersion() < p.lost {
+		return 0, nil
+	}
+	if len(changes) == 0 || changes[0].GetVersion() > p.lost {
+		return 0, ErrOutcomeUnknown
+	}
+	p.lost = 0
+	return 0, nil
+}
+
+// try reads, changes and writes the state once. If the state already contains a write of
+// the edit, it returns the version of that write.
+func (e *Editor) try(ctx context.Context, change func(*schema.State) error, p *pending) (uint64, error) {
 	state, known, err := e.Read(ctx)
 	if err != nil {
 		return 0, err
 	}
-	for _, c := range state.GetChanges() {
-		if c.GetId() == id {
-			return c.GetVersion(), nil
-		}
+	if version, err := p.resolve(state); version > 0 || err != nil {
+		return version, err
 	}
 	if err := change(state); err != nil {
 		return 0, &changeError{err}
 	}
-	return e.write(ctx, state, known, id)
+	version, err := e.write(ctx, state, known, p.id)
+	if stderrors.Is(err, errNoResponse) && p.lost == 0 {
+		p.lost = state.GetVersion()
+	}
+	return version, err
 }
 
 // waitRetry blocks until the next attempt; it returns false if the context ends before.
