Send a request body only once the peer asks for it

With "Expect: 100-continue" a Transporter writes the head, and the body when the peer asks for it. A request that is refused before can be sent again, though its body is not kept.

TCP_USER_TIMEOUT counts a full window as unacknowledged data, also if the peer is alive and passes the body on slowly. It is lifted while such a body is sent.

TestBodyOnDemand; TestSlowReaderOfBody fails without the second part.

--- a/transporter/options.go
+++ b/transporter/options.go
@@ -23,18 +23,27 @@
 // UserTimeout closes connections whose sent data is not acknowledged within the
 // given time, so that a dead peer is detected long before the default TCP timeouts.
 // Keep-alive probes after one second without traffic detect it on idle connections.
+//
+// The timeout does not apply while a body is sent that the peer has asked for, since a peer
+// that passes it on may read more slowly.
 func UserTimeout(after time.Duration) Option {
 	return func(t *Transporter) {
+		t.userTimeout = after
 		t.dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 		t.dialer.Control = func(_, _ string, c syscall.RawConn) error {
-			var optErr error
-			err := c.Control(func(fd uintptr) {
-				optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(after.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-			return optErr
+			return setUserTimeout(c, after)
 		}
 	}
 }
+
+// setUserTimeout sets the timeout of a connection. Zero stands for that of the system.
+func setUserTimeout(c syscall.RawConn, after time.Duration) error {
+	var optErr error
+	err := c.Control(func(fd uintptr) {
+		optErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(after.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return optErr
+}
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -13,6 +13,9 @@
 //	resp, err := t.RoundTrip(req)
 //	if err != nil && !transporter.Sent(err) { the request was not sent }
 //
+// With the header "Expect: 100-continue", the body of a request is read only once the peer
+// asks for it.
+//
 // The body of a response must be read to its end or closed. Requests carry
 // their deadline and cancellation in their context.
 package transporter
@@ -80,7 +83,9 @@
 type Transporter struct {
 	config *tls.Config
 	dialer net.Dialer
-	accept func(*http.Request, *http.Response) bool
+	// userTimeout is set by the option UserTimeout.
+	userTimeout time.Duration
+	accept      func(*http.Request, *http.Response) bool
 
 	mu   sync.Mutex
 	idle map[string][]*connection
@@ -248,17 +253,28 @@
 
 // exchange writes a request and reads the head of the response.
 func (c *connection) exchange(req *http.Request) (*http.Response, error) {
-	writeErr := req.Write(c.writer)
-	if writeErr == nil {
-		writeErr = c.writer.Flush()
+	if strings.EqualFold(req.Header.Get("Expect"), "100-continue") && req.Body != nil {
+		return c.exchangeOnContinue(req)
+	}
+	return c.readFinal(req, c.write(req))
+}
+
+func (c *connection) write(req *http.Request) error {
+	if err := req.Write(c.writer); err != nil {
+		return err
 	}
+	return c.writer.Flush()
+}
+
+// readFinal reads the head of the response to a request whose writing ended with an error
+// or nil.
+func (c *connection) readFinal(req *http.Request, writeErr error) (*http.Response, error) {
 	if writeErr != nil {
 		// The peer may have responded before it read the whole body.
 		_ = c.SetReadDeadline(time.Now().Add(responseGrace))
 	}
 	for range maxDiscarded + 1 {
-		c.input.remaining = maxHeadBytes
-		resp, err := http.ReadResponse(c.reader, req)
+		resp, err := c.readHead(req)
 		if err != nil {
 			return nil, errors.Join(writeErr, err)
 		}
@@ -280,6 +296,12 @@
 	return nil, errors.Join(writeErr, fmt.Errorf("more than %d stray or informational responses", maxDiscarded))
 }
 
+// readHead reads the head of one response, which may be informational.
+func (c *connection) readHead(req *http.Request) (*http.Response, error) {
+	c.input.remaining = maxHeadBytes
+	return http.ReadResponse(c.reader, req)
+}
+
 // reuseTimeout returns the time for which a connection may be reused: the
 // timeout in the Keep-Alive header less a margin, so that no request is sent while
 // the peer closes the connection.
