Bound the memory for bodies and pass large ones on

A node kept the bodies of all requests whole.

What is kept counts against an account ([traffic] share of the memory), of which a workspace may use as much as is left to all, weighted by class. What doesn't fit is refused as not run (1016, 2011); a body that is not there by its deadline, too (1017). A body that breaks off after a part was passed on has an unknown outcome (3008). A slow reader of a response is cut a second after its deadline.

--- a/attacher/module.go
+++ b/attacher/module.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/fx"
 
+	"quetzalhub/accountant"
 	"quetzalhub/allocator"
 	"quetzalhub/balancer"
 	"quetzalhub/beaconer"
@@ -18,6 +19,7 @@
 	"quetzalhub/forwarder"
 	"quetzalhub/gossiper"
 	"quetzalhub/gossiper/udp"
+	"quetzalhub/pacer"
 	"quetzalhub/quarantiner"
 	"quetzalhub/recorder"
 	"quetzalhub/refuser"
@@ -345,6 +347,8 @@
 	callerRefuser := refuser.New(rec.Refusals, refuser.WithStatus(p.RefusalStatus), refuser.WithFractionalRetryAfter())
 	nodeRefuser := refuser.New(rec.PeerRefusals)
 	requestTracker := &tracker.Tracker{Fanout: f.estimator.Fanout}
+	account := accountant.New(int64(s.GetBounds().GetMemory()) << 20 * int64(settings.GetShare()) / 100)
+	rec.Publish("bodies", func() any { return account.Usage() })
 	dispatcher := forwarder.NewDispatcher(forwarder.DispatcherOptions{
 		Identity:       f.beaconer,
 		Picker:         f.balancer,
@@ -369,6 +373,9 @@
 			DefaultTimeout: settings.GetDeadline().AsDuration(),
 			RetryBudget:    settings.GetRetries(),
 			MaxBodyBytes:   maxBodyBytes,
+			KeptBytes:      int64(settings.GetKeep()),
+			Accountant:     account,
+			Pacer:          pacer.New(),
 			Service:        s.GetUpstream().GetService(),
 			Dialect:        p.Dialect,
 			State:          lastingState{c},
@@ -391,6 +398,8 @@
 			Refuser:          nodeRefuser,
 			Transport:        transporter.New(nil, transporter.Accept(p.IsResponseTo)),
 			MaxBodyBytes:     maxBodyBytes,
+			Accountant:       account,
+			Pacer:            pacer.New(),
 			Dialect:          p.Dialect,
 			DeadlineGrace:    deadlineGrace,
 			Observer:         &upstreamObserver{st, f.estimator, rec},
--- a/forwarder/attemptwatch.go
+++ b/forwarder/attemptwatch.go
@@ -182,10 +182,14 @@
 	// means that the caller has disconnected.
 	canceled := !expired && a.callerCanceled()
 	result := balancer.Unreachable
-	if expired || canceled {
+	cut := !expired && a.call.Body.err() != nil
+	if expired || canceled || cut {
 		result = balancer.Abandoned
 	}
 	a.target.Done(result, time.Since(a.sent))
+	if cut && sent {
+		return &refuser.Error{Code: refuser.BodyCut}
+	}
 	if canceled && sent {
 		return &refuser.Error{Code: refuser.CallerGone}
 	}
--- a/forwarder/dispatcher.go
+++ b/forwarder/dispatcher.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"expvar"
@@ -157,6 +156,9 @@
 			continue
 		}
 		outcome.addFailure(withNode(err, target))
+		if call.Body.spent() {
+			return outcome.result()
+		}
 		if !offered && freeRetries < d.maxFreeRetries {
 			// No upstream has seen the call, so it is safe to send it to another node.
 			freeRetries++
@@ -186,7 +188,7 @@
 // acquireFailover reports whether to retry at another upstream instead of
 // returning a server error. It consumes a retry if so.
 func (d *Dispatcher) acquireFailover(ctx context.Context, call *Call, resp *Response) bool {
-	if !d.failover || resp.Status < http.StatusInternalServerError || !call.Route.Idempotent {
+	if !d.failover || resp.Status < http.StatusInternalServerError || !call.Route.Idempotent || call.Body.spent() {
 		return false
 	}
 	return d.acquireRetry(ctx, call, nil)
@@ -215,7 +217,7 @@
 			err = &refuser.Error{Code: refuser.UpstreamLost}
 		}
 		last = err
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || call.Body.spent() {
 			break
 		}
 		d.retryCounts.Add(reasonIdempotent, 1)
@@ -321,6 +323,7 @@
 		Left:        durationpb.New(timeLeft(parent.Deadline)),
 		Retries:     a.delegatedRetries,
 		Depth:       parent.Depth + 1,
+		Digest:      call.Body.digest,
 	}
 	if !d.quarantine.Empty() {
 		// The receiver may not have heard of the crash of a moment ago.
@@ -332,6 +335,11 @@
 	header := maps.Clone(call.Header)
 	header[HeaderEnvelope] = []string{encodeHeader(envelope)}
 	header[headerMethod] = []string{call.Method}
+	if envelope.Digest != nil {
+		// The receiver asks for the body once the call runs, so that it can be sent elsewhere
+		// if it does not.
+		header["Expect"] = []string{"100-continue"}
+	}
 	return newRequest(ctx, nodeMethod(call.Method), call.URL, a.target.Member.GetAddress(), header, call.Body)
 }
 
@@ -346,12 +354,10 @@
 }
 
 // newRequest returns a request for an address with the path and query of a URL.
-func newRequest(ctx context.Context, method string, from *url.URL, address string, h http.Header, body []byte) *http.Request {
+func newRequest(ctx context.Context, method string, from *url.URL, address string, h http.Header, body Body) *http.Request {
 	u := &url.URL{Host: address, Path: from.Path, RawPath: from.RawPath, RawQuery: from.RawQuery, ForceQuery: from.ForceQuery}
-	req := &http.Request{Method: method, URL: u, Header: h, ContentLength: int64(len(body))}
-	if len(body) > 0 {
-		req.Body = io.NopCloser(bytes.NewReader(body))
-	}
+	req := &http.Request{Method: method, URL: u, Header: h}
+	body.attach(req)
 	return req.WithContext(ctx)
 }
 
@@ -391,7 +397,7 @@
 	switch {
 	case code == refuser.UpstreamShed || code == refuser.UpstreamLost:
 		return balancer.Failed
-	case code == refuser.DeadlinePassed || code == refuser.DeadlineBeforeRun || code == refuser.CallerGone:
+	case code == refuser.DeadlinePassed || code == refuser.DeadlineBeforeRun || code == refuser.CallerGone || code == refuser.BodyCut:
 		return balancer.Abandoned
 	case code.Info().Outcome == schema.Outcome_OUTCOME_NOT_RUN:
 		return balancer.Refused
--- a/forwarder/egress.go
+++ b/forwarder/egress.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
+	"quetzalhub/accountant"
+	"quetzalhub/pacer"
 	"quetzalhub/refuser"
 	"quetzalhub/resolver"
 	"quetzalhub/tracker"
@@ -13,54 +14,76 @@
 
 // Egress handles calls made by the local upstream.
 type Egress struct {
-	state        State
-	tracker      *tracker.Tracker
-	dispatcher   *Dispatcher
-	refuser      *refuser.Refuser
-	maxBodyBytes int64
+	EgressOptions
 }
 
-// NewEgress returns the handler for calls of the upstream. maxBodyBytes limits
-// the size of a request body.
-func NewEgress(s State, t *tracker.Tracker, d *Dispatcher, r *refuser.Refuser, maxBodyBytes int64) *Egress {
-	return &Egress{state: s, tracker: t, dispatcher: d, refuser: r, maxBodyBytes: maxBodyBytes}
+// EgressOptions holds the dependencies and settings of an Egress.
+type EgressOptions struct {
+	State      State
+	Tracker    *tracker.Tracker
+	Dispatcher *Dispatcher
+	Refuser    *refuser.Refuser
+	// MaxBodyBytes limits the size of a request body, and KeptBytes the part of it that is
+	// kept. The default is to keep all.
+	MaxBodyBytes, KeptBytes int64
+	// Accountant bounds the memory for bodies and responses. It may be nil.
+	Accountant *accountant.Accountant
+	// Pacer spaces out the copying of large bodies. It may be nil.
+	Pacer *pacer.Pacer
+}
+
+// NewEgress returns the handler for calls of the upstream.
+func NewEgress(o EgressOptions) *Egress {
+	if o.KeptBytes == 0 {
+		o.KeptBytes = o.MaxBodyBytes
+	}
+	return &Egress{o}
 }
 
 // ServeHTTP dispatches a call as part of the request identified by its ticket.
 func (e *Egress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	parent, ok := e.tracker.Find(r.Header.Get(HeaderTicket))
+	parent, ok := e.Tracker.Find(r.Header.Get(HeaderTicket))
 	if !ok {
 		code := refuser.TicketUnknown
 		if r.Header.Get(HeaderTicket) == "" {
 			code = refuser.TicketMissing
 		}
-		e.refuser.Refuse(w, code, refuser.Detail{})
+		e.Refuser.Refuse(w, code, refuser.Detail{})
 		return
 	}
 	parent.CallTimer.Begin()
 	defer parent.CallTimer.End()
 	ctx, cancel := context.WithDeadline(r.Context(), parent.Deadline)
 	defer cancel()
-	response, err := e.serve(ctx, w, r, parent)
+	loan := e.Accountant.Open(parent.Workspace, parent.Class)
+	defer loan.Close()
+	response, err := e.serve(ctx, w, r, parent, loan)
 	if err != nil {
 		code, detail := refusalOf(err)
 		detail.Request = parent.ID
-		e.refuser.Refuse(w, code, detail)
+		e.Refuser.Refuse(w, code, detail)
 		return
 	}
+	loan.Close()
+	loan.Take(streamBytes)
+	defer limitWrites(w, response, parent.Deadline)()
 	Native{}.SetResponseHeaders(w.Header(), parent.ID)
 	writeResponse(w, response)
 }
 
-func (e *Egress) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, parent *tracker.Request) (*Response, error) {
+func (e *Egress) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, parent *tracker.Request, loan *accountant.Loan) (*Response, error) {
 	route, err := e.route(r)
 	if err != nil {
 		return nil, err
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.maxBodyBytes))
+	reader := &bodyReader{
+		request: r, writer: w, loan: loan, pacer: e.Pacer, keep: e.KeptBytes, limit: e.MaxBodyBytes, deadline: parent.Deadline, noRoom: refuser.MemoryFull,
+	}
+	body, err := reader.read()
 	if err != nil {
-		return nil, &refuser.Error{Code: refuser.BodyTooLarge}
+		return nil, err
 	}
+	defer reader.close()
 	call := &Call{
 		Parent:    childRequest(parent, route),
 		Route:     route,
@@ -72,13 +95,13 @@
 		Body:      body,
 		Retryable: true,
 	}
-	response, err := e.dispatcher.Do(ctx, call)
+	response, err := e.Dispatcher.Do(ctx, call)
 	parent.Pressure.Raise(call.Parent.Pressure.Level())
 	return response, err
 }
 
 func (e *Egress) route(r *http.Request) (*resolver.Route, error) {
-	snapshot := e.state.Snapshot()
+	snapshot := e.State.Snapshot()
 	if snapshot == nil {
 		return nil, &refuser.Error{Code: refuser.StateMissing}
 	}
--- a/forwarder/entry.go
+++ b/forwarder/entry.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	mathrand "math/rand/v2"
 	"net/http"
 	"time"
 
+	"quetzalhub/accountant"
 	"quetzalhub/guard"
+	"quetzalhub/pacer"
 	"quetzalhub/refuser"
 	"quetzalhub/resolver"
 	"quetzalhub/schema"
@@ -22,8 +22,13 @@
 	// RetryBudget is the number of retries for a request and all calls made on
 	// its behalf, for routes that do not set a number of attempts.
 	RetryBudget uint32
-	// MaxBodyBytes limits the size of a request body.
-	MaxBodyBytes int64
+	// MaxBodyBytes limits the size of a request body, and KeptBytes the part of it that is
+	// kept. The default is to keep all.
+	MaxBodyBytes, KeptBytes int64
+	// Accountant bounds the memory for bodies and responses. It may be nil.
+	Accountant *accountant.Accountant
+	// Pacer spaces out the copying of large bodies. It may be nil.
+	Pacer *pacer.Pacer
 	// Service is the service of the local upstream. It may be empty.
 	Service string
 
@@ -97,6 +102,9 @@
 	if o.LoadShedder == nil {
 		o.LoadShedder = newShedder()
 	}
+	if o.KeptBytes == 0 {
+		o.KeptBytes = o.MaxBodyBytes
+	}
 	return &Entry{EntryOptions: o}
 }
 
@@ -122,7 +130,7 @@
 			"note", detail.Note, "path", info.Path, "parent", info.parentID, "held", time.Since(started), "retry", detail.RetryAfter)
 		return
 	}
-	defer response.cancel()
+	defer response.end()
 	writeResponse(w, response.Response)
 	elapsed := time.Since(started)
 	if e.ObserveLatency != nil {
@@ -136,11 +144,11 @@
 		"parent", info.parentID, "held", elapsed)
 }
 
-// entryResponse is a response with the function that cancels the context of its
-// request. The context must remain valid until the response is written.
+// entryResponse is a response with the function that ends its request. The context of the
+// request must remain valid until the response is written.
 type entryResponse struct {
 	*Response
-	cancel context.CancelFunc
+	end func()
 }
 
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request, info *RequestInfo) (*entryResponse, error) {
@@ -148,7 +156,32 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := e.readBody(w, r)
+	loan := e.Accountant.Open(workspace, e.State.Snapshot().Class(route, workspace))
+	deadline := info.received.Add(e.timeout(route, *info))
+	reader := &bodyReader{
+		request: r, writer: w, loan: loan, pacer: e.Pacer, keep: e.KeptBytes, limit: e.MaxBodyBytes, deadline: deadline, noRoom: refuser.MemoryFull,
+	}
+	response, err := e.serveBody(r, info, workspace, route, reader)
+	// The body is no longer needed.
+	reader.close()
+	loan.Close()
+	if err != nil {
+		return nil, err
+	}
+	loan.Take(streamBytes)
+	unlimit := limitWrites(w, response.Response, deadline)
+	cancel := response.end
+	response.end = func() {
+		cancel()
+		unlimit()
+		loan.Close()
+	}
+	return response, nil
+}
+
+// serveBody reads the body of a request and dispatches the request.
+func (e *Entry) serveBody(r *http.Request, info *RequestInfo, workspace string, route *resolver.Route, reader *bodyReader) (*entryResponse, error) {
+	body, err := reader.read()
 	if err != nil {
 		return nil, err
 	}
@@ -322,18 +355,3 @@
 	}
 	return grant.Workspace, nil
 }
-
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, &refuser.Error{Code: refuser.BodyTooLarge}
-	}
-	if err != nil {
-		return nil, &refuser.Error{Code: refuser.BadRequest, Detail: refuser.Detail{Note: "The request body is truncated."}}
-	}
-	return body, nil
-}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -14,7 +14,7 @@
 //	d := forwarder.NewDispatcher(forwarder.DispatcherOptions{...})
 //	http.Serve(callers, forwarder.NewEntry(forwarder.EntryOptions{Dispatcher: d, ...}))
 //	http.Serve(peers, forwarder.NewRelay(forwarder.RelayOptions{...}))
-//	http.Serve(local, forwarder.NewEgress(state, tracker, d, ...))
+//	http.Serve(local, forwarder.NewEgress(forwarder.EgressOptions{Dispatcher: d, ...}))
 package forwarder
 
 import (
@@ -102,7 +102,7 @@
 	// URL holds the path and query.
 	URL    *url.URL
 	Header http.Header
-	Body   []byte
+	Body   Body
 	// Retryable is false if the call must not be retried.
 	Retryable bool
 	// offered is the number of upstreams that may have seen the call.
--- a/forwarder/idempotency.go
+++ b/forwarder/idempotency.go
@@ -60,11 +60,12 @@
 }
 
 // requestDigest returns a hash of method, URI and body. It detects the use of
-// one key for different requests.
+// one key for different requests. Of a body that is not kept whole, the beginning and the
+// length count.
 func requestDigest(call *Call) []byte {
 	h := sha256.New()
 	_, _ = io.WriteString(h, call.Method+" "+call.URL.RequestURI()+"\n")
-	h.Write(call.Body)
+	h.Write(call.Body.identity())
 	return h.Sum(nil)
 }
 
--- a/forwarder/isolation.go
+++ b/forwarder/isolation.go
@@ -103,7 +103,7 @@
 
 // fingerprint returns the fingerprint of a call.
 func (c *Call) fingerprint() quarantiner.Fingerprint {
-	return newQuarantineRequest(c.Nested, c.Parent.Workspace, c.Origin, c.Method, c.Host, c.URL, c.Body).Fingerprint()
+	return newQuarantineRequest(c.Nested, c.Parent.Workspace, c.Origin, c.Method, c.Host, c.URL, c.Body.identity()).Fingerprint()
 }
 
 // recordReport records what the node beside the upstream reports of a call.
@@ -145,14 +145,14 @@
 
 // enter waits for the turn of a call if it is isolated. It returns a refusal if the call is
 // held, or if its turn does not come in time. leave must be called if it returns none.
-func (i *isolator) enter(ctx context.Context, rc *relayCall, from *http.Request, body []byte) error {
+func (i *isolator) enter(ctx context.Context, rc *relayCall, from *http.Request) error {
 	if s := rc.envelope.GetSuspicion(); s != nil {
 		i.quarantine.Store([]*schema.Suspicion{s})
 	}
 	if i.quarantine.Empty() {
 		return nil
 	}
-	f := rc.quarantineRequest(from, body).Fingerprint()
+	f := rc.quarantineRequest(from).Fingerprint()
 	treatment, left := i.quarantine.Treatment(f)
 	if treatment == quarantiner.Isolated {
 		wait := defaultIsolationWait
@@ -191,10 +191,10 @@
 }
 
 // begin records that the upstream is about to run a call, and end that it no longer does.
-func (i *isolator) begin(rc *relayCall, from *http.Request, body []byte) {
+func (i *isolator) begin(rc *relayCall, from *http.Request) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.runs[rc] = quarantiner.Run{Request: rc.quarantineRequest(from, body), Began: time.Now(), Isolated: rc.isolated}
+	i.runs[rc] = quarantiner.Run{Request: rc.quarantineRequest(from), Began: time.Now(), Isolated: rc.isolated}
 }
 
 func (i *isolator) end(rc *relayCall) {
@@ -204,10 +204,10 @@
 }
 
 // clear drops the suspicion against an isolated call that the upstream has answered.
-func (i *isolator) clear(rc *relayCall, from *http.Request, body []byte) {
+func (i *isolator) clear(rc *relayCall, from *http.Request) {
 	if rc.isolated {
 		rc.cleared = true
-		i.quarantine.RecordEnd(rc.quarantineRequest(from, body).Fingerprint())
+		i.quarantine.RecordEnd(rc.quarantineRequest(from).Fingerprint())
 	}
 }
 
@@ -274,7 +274,7 @@
 }
 
 // quarantineRequest returns the properties by which the quarantine identifies the call.
-func (rc *relayCall) quarantineRequest(from *http.Request, body []byte) quarantiner.Request {
+func (rc *relayCall) quarantineRequest(from *http.Request) quarantiner.Request {
 	e := rc.envelope
-	return newQuarantineRequest(e.GetDepth() > 1, e.GetWorkspace(), e.GetOrigin(), from.Header.Get(headerMethod), e.GetHost(), from.URL, body)
+	return newQuarantineRequest(e.GetDepth() > 1, e.GetWorkspace(), e.GetOrigin(), from.Header.Get(headerMethod), e.GetHost(), from.URL, rc.body.identity())
 }
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -195,7 +195,7 @@
 		DefaultTimeout: 5 * time.Second, RetryBudget: m.budget, MaxBodyBytes: 1 << 20, Dialect: forwarder.Native{}, State: m, Admitter: m,
 		Dispatcher: d, IdempotencyStore: m, Refuser: refusals, Reporter: reporter.Discard{},
 	}))
-	n.local.Config.Handler = forwarder.NewEgress(m, active, d, refusals, 1<<20)
+	n.local.Config.Handler = forwarder.NewEgress(forwarder.EgressOptions{State: m, Tracker: active, Dispatcher: d, Refuser: refusals, MaxBodyBytes: 1 << 20})
 	n.local.Start()
 	n.peers = httptest.NewServer(forwarder.NewRelay(forwarder.RelayOptions{
 		Identity: n, Upstreams: n, Fencer: n.fencer, Tracker: active,
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
+	"quetzalhub/accountant"
 	"quetzalhub/guard"
+	"quetzalhub/pacer"
 	"quetzalhub/quarantiner"
 	"quetzalhub/refuser"
 	"quetzalhub/schema"
@@ -51,7 +52,11 @@
 	Transport http.RoundTripper
 	// MaxBodyBytes limits the size of a request body.
 	MaxBodyBytes int64
-	Dialect      Dialect
+	// Accountant bounds the memory for bodies and responses. It may be nil.
+	Accountant *accountant.Accountant
+	// Pacer spaces out the copying of large bodies. It may be nil.
+	Pacer   *pacer.Pacer
+	Dialect Dialect
 	// DeadlineGrace is the time after the deadline in which the upstream can
 	// still respond that the deadline has passed.
 	DeadlineGrace time.Duration
@@ -126,6 +131,8 @@
 type relayCall struct {
 	envelope *schema.Envelope
 	request  *tracker.Request
+	body     Body
+	loan     *accountant.Loan
 	ticket   string
 	upstream Upstream
 	// offered is true if the upstream may have seen the call.
@@ -153,13 +160,29 @@
 		r.refuse(w, rc, code)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, r.options.MaxBodyBytes))
-	if err != nil {
+	rc.loan = r.options.Accountant.Open(rc.request.Workspace, rc.request.Class)
+	defer rc.loan.Close()
+	reader := &bodyReader{
+		request: req, writer: w, loan: rc.loan, pacer: r.options.Pacer, keep: r.options.MaxBodyBytes, limit: r.options.MaxBodyBytes,
+		deadline: rc.request.Deadline, noRoom: refuser.PeerMemoryFull,
+	}
+	var err error
+	if rc.body, err = r.readBody(reader, rc.envelope.GetDigest()); err != nil {
 		r.options.Fencer.MarkNotRun(rc.envelope.GetAttempt())
-		r.refuse(w, rc, refuser.BadRequest)
+		r.refuse(w, rc, refuser.CodeOf(err))
 		return
 	}
-	r.run(w, req, rc, body)
+	defer reader.close()
+	r.run(w, req, rc)
+}
+
+// readBody reads a body whole, unless the sender passes it on as it arrives and states its
+// digest.
+func (r *Relay) readBody(b *bodyReader, digest []byte) (Body, error) {
+	if len(digest) == 0 {
+		return b.read()
+	}
+	return b.open(digest)
 }
 
 // accept checks whether a call may run at this node and registers the attempt.
@@ -202,11 +225,11 @@
 
 // run waits for a slot of the concurrency limiter and sends the call to the
 // upstream.
-func (r *Relay) run(w http.ResponseWriter, req *http.Request, rc *relayCall, body []byte) {
+func (r *Relay) run(w http.ResponseWriter, req *http.Request, rc *relayCall) {
 	id, arrived := rc.envelope.GetAttempt(), time.Now()
 	ctx, cancel := context.WithDeadline(req.Context(), rc.request.Deadline.Add(r.options.DeadlineGrace))
 	defer cancel()
-	if err := r.isolator.enter(ctx, rc, req, body); err != nil {
+	if err := r.isolator.enter(ctx, rc, req); err != nil {
 		r.options.Fencer.MarkNotRun(id)
 		r.refuse(w, rc, refuser.CodeOf(err))
 		return
@@ -232,7 +255,7 @@
 		permit.ExcludeCallTime(rc.request.CallTimer.Total())
 		permit.Release()
 	}()
-	resp, code := r.callUpstream(ctx, req, rc, body)
+	resp, code := r.callUpstream(ctx, req, rc)
 	defer r.isolator.end(rc)
 	if code != refuser.None {
 		r.close(id, code)
@@ -241,7 +264,8 @@
 		return
 	}
 	defer r.options.Fencer.End(id)
-	r.isolator.clear(rc, req, body)
+	r.isolator.clear(rc, req)
+	rc.loan.Take(streamBytes)
 	r.sendResponse(w, rc, resp)
 	r.recordOutcome(rc, time.Since(entered), resp.StatusCode < http.StatusMultipleChoices)
 }
@@ -270,15 +294,15 @@
 }
 
 // callUpstream sends a call to the upstream.
-func (r *Relay) callUpstream(ctx context.Context, from *http.Request, rc *relayCall, body []byte) (*http.Response, refuser.Code) {
+func (r *Relay) callUpstream(ctx context.Context, from *http.Request, rc *relayCall) (*http.Response, refuser.Code) {
 	if timeLeft(rc.request.Deadline) == 0 {
 		return nil, refuser.DeadlineBeforeRun
 	}
 	rc.offered = true
-	r.isolator.begin(rc, from, body)
-	resp, err := r.options.Transport.RoundTrip(r.upstreamRequest(ctx, from, rc, body))
+	r.isolator.begin(rc, from)
+	resp, err := r.options.Transport.RoundTrip(r.upstreamRequest(ctx, from, rc))
 	if err != nil {
-		return nil, r.errorCode(from, rc, transporter.Sent(err), body)
+		return nil, r.errorCode(from, rc, transporter.Sent(err))
 	}
 	kind := r.options.Dialect.ClassifyResponse(resp, rc.request.ID)
 	code := responseCode(kind)
@@ -318,7 +342,7 @@
 
 // errorCode returns the refusal code for a call without a response. sent is false
 // if no byte of the call was sent to the upstream.
-func (r *Relay) errorCode(from *http.Request, rc *relayCall, sent bool, body []byte) refuser.Code {
+func (r *Relay) errorCode(from *http.Request, rc *relayCall, sent bool) refuser.Code {
 	expired := timeLeft(rc.request.Deadline) == 0
 	callerGone := from.Context().Err() != nil
 	switch {
@@ -332,8 +356,10 @@
 		return refuser.DeadlinePassed
 	case callerGone:
 		return refuser.CallerGone
+	case rc.body.err() != nil:
+		return refuser.BodyCut
 	case r.isolator.crashed(rc.upstream):
-		rc.suspicion = r.options.Quarantine.Suspicion(rc.quarantineRequest(from, body).Fingerprint())
+		rc.suspicion = r.options.Quarantine.Suspicion(rc.quarantineRequest(from).Fingerprint())
 		r.observe(rc, Unreachable)
 		return refuser.UpstreamCrashed
 	default:
@@ -348,14 +374,14 @@
 	}
 }
 
-func (r *Relay) upstreamRequest(ctx context.Context, from *http.Request, rc *relayCall, body []byte) *http.Request {
+func (r *Relay) upstreamRequest(ctx context.Context, from *http.Request, rc *relayCall) *http.Request {
 	header := forwardedHeader(from.Header, r.options.Dialect)
 	delete(header, HeaderEnvelope)
 	delete(header, headerMethod)
 	r.options.Dialect.SetRequestHeaders(header, UpstreamMetadata{
 		Request: rc.request, Ticket: rc.ticket, Upstream: rc.upstream.ID, Origin: rc.envelope.GetOrigin(),
 	})
-	req := newRequest(ctx, from.Header.Get(headerMethod), from.URL, rc.upstream.Address, header, body)
+	req := newRequest(ctx, from.Header.Get(headerMethod), from.URL, rc.upstream.Address, header, rc.body)
 	req.Host = rc.envelope.GetHost()
 	return req
 }
@@ -366,6 +392,7 @@
 	report.Outcome = schema.Outcome_OUTCOME_ANSWERED
 	response := &Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength, Report: report}
 	w.Header().Set(headerReport, encodeHeader(report))
+	defer limitWrites(w, response, rc.request.Deadline)()
 	writeResponse(w, response)
 }
 
--- a/refuser/code.go
+++ b/refuser/code.go
@@ -30,6 +30,9 @@
 	// for a short and for a long time.
 	RequestHeld        Code = 1014
 	RequestQuarantined Code = 1015
+	// MemoryFull refuses a request whose body does not fit beside those of others.
+	MemoryFull Code = 1016
+	BodyLate   Code = 1017
 )
 
 // Codes of refusals between nodes.
@@ -44,6 +47,7 @@
 	UpstreamRefused    Code = 2008
 	UpstreamShed       Code = 2009
 	UpstreamReplaced   Code = 2010
+	PeerMemoryFull     Code = 2011
 )
 
 // Codes of failures after which the request may have run.
@@ -55,6 +59,8 @@
 	ResendUnknown   Code = 3005
 	ReceiverUnclear Code = 3006
 	UpstreamCrashed Code = 3007
+	// BodyCut means that the body ended early, or grew too large, after a part was passed on.
+	BodyCut Code = 3008
 )
 
 // Codes of refused nested calls, which upstreams make while they serve a request.
@@ -98,6 +104,9 @@
 	RequestHeld:        {"request_held", "Upstreams crashed while they ran this request; it is tried again later.", http.StatusServiceUnavailable, notRun},
 	RequestQuarantined: {"request_quarantined", "Upstreams crashed each time that they ran this request; it is not run again.", http.StatusUnprocessableEntity, notRun},
 
+	MemoryFull: {"memory_full", "The node has no room for the body of the request.", http.StatusServiceUnavailable, notRun},
+	BodyLate:   {"body_late", "The body did not arrive before the deadline.", http.StatusRequestTimeout, notRun},
+
 	EndpointMissing:    {"endpoint_missing", "No upstream of the service is announced.", http.StatusServiceUnavailable, notRun},
 	ShedAtGuard:        {"shed_at_guard", "The upstream is overloaded; the request did not begin.", http.StatusServiceUnavailable, notRun},
 	DeadlineBeforeRun:  {"deadline_before_run", "The deadline passed before the request began.", http.StatusGatewayTimeout, notRun},
@@ -108,6 +117,7 @@
 	UpstreamShed:       {"upstream_shed", "The upstream turned the request away.", http.StatusServiceUnavailable, notRun},
 	UpstreamReplaced:   {"upstream_replaced", "Another upstream has the address.", http.StatusServiceUnavailable, notRun},
 	UpstreamRefused:    {"upstream_refused", "The upstream accepted no connection.", http.StatusServiceUnavailable, notRun},
+	PeerMemoryFull:     {"peer_memory_full", "The node beside the upstream has no room for the body of the request.", http.StatusServiceUnavailable, notRun},
 
 	ConnectionLost:  {"connection_lost", "The connection was lost after the request was sent.", http.StatusBadGateway, unknown},
 	DeadlinePassed:  {"deadline_passed", "The deadline passed while the request was running.", http.StatusGatewayTimeout, unknown},
@@ -116,6 +126,7 @@
 	ResendUnknown:   {"resend_unknown", "The node cannot tell what became of the first request with this idempotency key.", http.StatusBadGateway, unknown},
 	ReceiverUnclear: {"receiver_unclear", "The node beside the upstream cannot tell whether the request ran.", http.StatusBadGateway, unknown},
 	UpstreamCrashed: {"upstream_crashed", "The upstream crashed while it ran the request.", http.StatusBadGateway, unknown},
+	BodyCut:         {"body_cut", "The request body was cut off, or grew too large, while it was passed on.", http.StatusBadRequest, unknown},
 
 	TicketMissing: {"ticket_missing", "The call names no active request.", http.StatusBadRequest, notRun},
 	TicketUnknown: {"ticket_unknown", "The named request is no longer active.", http.StatusConflict, notRun},
--- a/server/server.go
+++ b/server/server.go
@@ -16,6 +16,7 @@
 	"github.com/charmbracelet/log"
 	"go.uber.org/fx"
 
+	"quetzalhub/accountant"
 	"quetzalhub/announcer"
 	"quetzalhub/assigner"
 	"quetzalhub/balancer"
@@ -32,6 +33,7 @@
 	"quetzalhub/lender"
 	"quetzalhub/limiter"
 	"quetzalhub/naive"
+	"quetzalhub/pacer"
 	"quetzalhub/quarantiner"
 	"quetzalhub/recorder"
 	"quetzalhub/refuser"
@@ -271,10 +273,15 @@
 	dispatcher := forwarder.NewDispatcher(options)
 	refusals := p.Refusers.callers
 	active := &tracker.Tracker{}
+	account := accountant.New(int64(p.Settings.GetBounds().GetMemory()) << 20 * int64(settings.GetShare()) / 100)
+	p.Recorder.Publish("bodies", func() any { return account.Usage() })
 	entry := forwarder.EntryOptions{
 		DefaultTimeout:   settings.GetDeadline().AsDuration(),
 		RetryBudget:      settings.GetRetries(),
 		MaxBodyBytes:     body,
+		KeptBytes:        int64(settings.GetKeep()),
+		Accountant:       account,
+		Pacer:            pacer.New(),
 		Dialect:          forwarder.Native{},
 		State:            p.Confirmer,
 		Admitter:         admitter,
@@ -286,7 +293,10 @@
 	return &traffic{
 		refuser: refusals,
 		entry:   forwarder.NewEntry(entry),
-		egress:  forwarder.NewEgress(p.Confirmer, active, dispatcher, refusals, body),
+		egress: forwarder.NewEgress(forwarder.EgressOptions{
+			State: p.Confirmer, Tracker: active, Dispatcher: dispatcher, Refuser: refusals,
+			MaxBodyBytes: body, KeptBytes: int64(settings.GetKeep()), Accountant: account, Pacer: pacer.New(),
+		}),
 		relay: forwarder.NewRelay(forwarder.RelayOptions{
 			Identity:     p.Gossiper,
 			Upstreams:    p.Announcer,
@@ -295,6 +305,8 @@
 			Refuser:      p.Refusers.nodes,
 			Transport:    transporter.New(nil, transporter.Accept(forwarder.Native{}.MatchesRequest)),
 			MaxBodyBytes: body,
+			Accountant:   account,
+			Pacer:        pacer.New(),
 			Dialect:      forwarder.Native{},
 			Quarantine:   quarantine,
 			Reporter:     reporter.Discard{},
