--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"fmt"
@@ -15,6 +16,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"quetzalhub/accountant"
 	"quetzalhub/balancer"
 	"quetzalhub/fencer"
 	"quetzalhub/forwarder"
@@ -39,6 +41,12 @@
 	failover      bool
 	budget        uint32
 	checkInterval time.Duration
+	// keptBytes is the part of a body that is kept, or zero for all, and account bounds the
+	// memory for bodies of each node.
+	keptBytes int64
+	account   func() *accountant.Accountant
+	// timeout is the time that a request may take. Zero means 5 s.
+	timeout time.Duration
 	// admissionDelay is the time for which each request waits for a token.
 	admissionDelay time.Duration
 
@@ -191,15 +199,19 @@
 		options.RetriesPerCall = naive.RetriesPerCall
 	}
 	d := forwarder.NewDispatcher(options)
+	var account *accountant.Accountant
+	if m.account != nil {
+		account = m.account()
+	}
 	n.callers = httptest.NewServer(forwarder.NewEntry(forwarder.EntryOptions{
-		DefaultTimeout: 5 * time.Second, RetryBudget: m.budget, MaxBodyBytes: 1 << 20, Dialect: forwarder.Native{}, State: m, Admitter: m,
+		DefaultTimeout: cmp.Or(m.timeout, 5*time.Second), RetryBudget: m.budget, MaxBodyBytes: 1 << 20, KeptBytes: m.keptBytes, Accountant: account, Dialect: forwarder.Native{}, State: m, Admitter: m,
 		Dispatcher: d, IdempotencyStore: m, Refuser: refusals, Reporter: reporter.Discard{},
 	}))
-	n.local.Config.Handler = forwarder.NewEgress(forwarder.EgressOptions{State: m, Tracker: active, Dispatcher: d, Refuser: refusals, MaxBodyBytes: 1 << 20})
+	n.local.Config.Handler = forwarder.NewEgress(forwarder.EgressOptions{State: m, Tracker: active, Dispatcher: d, Refuser: refusals, MaxBodyBytes: 1 << 20, KeptBytes: m.keptBytes, Accountant: account})
 	n.local.Start()
 	n.peers = httptest.NewServer(forwarder.NewRelay(forwarder.RelayOptions{
 		Identity: n, Upstreams: n, Fencer: n.fencer, Tracker: active,
-		Refuser: refuser.New(new(expvar.Map)), Transport: transporter.New(nil, transporter.Accept(forwarder.Native{}.MatchesRequest)), MaxBodyBytes: 1 << 20,
+		Refuser: refuser.New(new(expvar.Map)), Transport: transporter.New(nil, transporter.Accept(forwarder.Native{}.MatchesRequest)), MaxBodyBytes: 1 << 20, Accountant: account,
 		Dialect: forwarder.Native{}, Reporter: reporter.Discard{},
 	}))
 	for _, s := range []*httptest.Server{n.local, n.upstream, n.callers, n.peers} {
--- a/forwarder/once_test.go
+++ b/forwarder/once_test.go
@@ -31,14 +31,25 @@
 // that ran as not run, when the connection between two nodes fails. It cuts the
 // connection every 37 bytes of the request and of the response.
 func TestAtMostOnce(t *testing.T) {
-	cases := map[string]func(l *link, at int){
-		"request cut":  func(l *link, at int) { l.set(at, -1, false) },
-		"response cut": func(l *link, at int) { l.set(-1, at, false) },
+	requestCut := func(l *link, at int) { l.set(at, -1, false) }
+	responseCut := func(l *link, at int) { l.set(-1, at, false) }
+	cases := map[string]struct {
+		cut       func(l *link, at int)
+		keptBytes int64
+	}{
+		"request cut":                    {requestCut, 0},
+		"response cut":                   {responseCut, 0},
+		"request with long body, cut":    {requestCut, 100},
+		"response to a long body, cut":   {responseCut, 100},
+		"request kept to its end, cut":   {requestCut, 500},
+		"request kept but a byte, cut":   {requestCut, 499},
+		"response, kept but a byte, cut": {responseCut, 499},
 	}
-	for name, cut := range cases {
+	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			m := newMesh(t)
+			m.keptBytes = c.keptBytes
 			m.addRoute("orders", false)
 			runs := newRunCounter()
 			m.addNode("front", echo(newRunCounter()))
@@ -47,8 +58,8 @@
 			m.join()
 			counts := map[string]int{}
 			for at := 0; at < 3000; at += 37 {
-				cut(first, at)
-				cut(second, at)
+				c.cut(first, at)
+				c.cut(second, at)
 				id := fmt.Sprintf("order-%d", at)
 				resp := m.request("POST", "/orders/1", id, strings.Repeat("b", 500))
 				outcome := outcomeOf(resp)
