Don't let slow senders and bursts of uploads delay others

Senders that announce long bodies and send a byte a second made the node refuse all large bodies of others: it took what they announced for work to come. TestMemoryOfUploads failed with 0 of 30 large bodies served beside 200 such senders of 64 MiB. Only streams that go on asking for turns count now.

Two streams are passed on at a time while turns are scarce; the others wait with the part that is kept, and are refused as not run once they can't end in time. Before, those that ran out of time ended with an unknown outcome.

TestUploadsDoNotExhaustMemory compares with a second node at the same time rather than with the time before, since the load of the machine varies.

--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -22,6 +22,8 @@
 	// streamBytes is the memory in bytes that passing on a body or a response takes, for the
 	// buffers of both connections.
 	streamBytes = 48 << 10
+	// startInterval is the time between two checks of whether a long body may be passed on.
+	startInterval = 20 * time.Millisecond
 	// writeGrace is the time after the deadline of a request for which its response is
 	// still written.
 	writeGrace = time.Second
@@ -154,12 +156,16 @@
 	return newStreamedBody(start, length, b.newRest(source)), nil
 }
 
-// admitRest returns a refusal if there is no room for the rest of a body, or no time.
+// admitRest waits until the rest of a body may be passed on. It returns a refusal if there is no
+// room for it, or no time.
 func (b *bodyReader) admitRest() error {
-	if foreseen := b.pacer.Foresee(); foreseen > time.Until(b.deadline) {
-		return &refuser.Error{Code: refuser.ShedAtEntry, Detail: refuser.Detail{
-			Note: "The node is busy with the bodies of other requests.", RetryAfter: foreseen,
-		}}
+	for !b.stream.Start() {
+		if foreseen := b.stream.Foresee(); foreseen > time.Until(b.deadline) {
+			return &refuser.Error{Code: refuser.ShedAtEntry, Detail: refuser.Detail{
+				Note: "The node is busy with the bodies of other requests.", RetryAfter: foreseen,
+			}}
+		}
+		time.Sleep(startInterval)
 	}
 	if !b.loan.Grow(streamBytes) {
 		return &refuser.Error{Code: b.noRoom}
@@ -247,10 +253,21 @@
 	}
 }
 
+// responseBytes returns the memory that passing on a response takes.
+func responseBytes(resp *Response) int64 {
+	if isShort(resp) {
+		return resp.Length
+	}
+	return streamBytes
+}
+
+// isShort reports whether writing a response doesn't block.
+func isShort(resp *Response) bool { return resp.Length >= 0 && resp.Length <= shortResponseBytes }
+
 // limitWrites bounds the time for which a response may be written, so that a slow reader
 // does not hold memory for longer. The result ends the bound.
 func limitWrites(w http.ResponseWriter, resp *Response, deadline time.Time) func() {
-	if resp.Length >= 0 && resp.Length <= shortResponseBytes {
+	if isShort(resp) {
 		return func() {}
 	}
 	if now := time.Now(); deadline.Before(now) {
--- a/forwarder/egress.go
+++ b/forwarder/egress.go
@@ -65,7 +65,7 @@
 		return
 	}
 	loan.Close()
-	loan.Take(streamBytes)
+	loan.Take(responseBytes(response))
 	defer limitWrites(w, response, parent.Deadline)()
 	Native{}.SetResponseHeaders(w.Header(), parent.ID)
 	writeResponse(w, response)
--- a/forwarder/entry.go
+++ b/forwarder/entry.go
@@ -168,7 +168,7 @@
 	if err != nil {
 		return nil, err
 	}
-	loan.Take(streamBytes)
+	loan.Take(responseBytes(response.Response))
 	unlimit := limitWrites(w, response.Response, deadline)
 	cancel := response.end
 	response.end = func() {
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -265,7 +265,6 @@
 	}
 	defer r.options.Fencer.End(id)
 	r.isolator.clear(rc, req)
-	rc.loan.Take(streamBytes)
 	r.sendResponse(w, rc, resp)
 	r.recordOutcome(rc, time.Since(entered), resp.StatusCode < http.StatusMultipleChoices)
 }
@@ -392,6 +391,7 @@
 	report.Outcome = schema.Outcome_OUTCOME_ANSWERED
 	response := &Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength, Report: report}
 	w.Header().Set(headerReport, encodeHeader(report))
+	rc.loan.Take(responseBytes(response))
 	defer limitWrites(w, response, rc.request.Deadline)()
 	writeResponse(w, response)
 }
--- a/pacer/pacer.go
+++ b/pacer/pacer.go
@@ -7,7 +7,7 @@
 //	p := pacer.New()
 //	s := p.Open(length)
 //	defer s.Close()
-//	if p.Foresee() > left { refuse the body }
+//	for !s.Start() { wait, or refuse the copy if s.Foresee() > timeLeft }
 //	for each part that was copied { s.Add(n) }
 package pacer
 
@@ -16,6 +16,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"quetzalhub/util/set"
 )
 
 // turnBytes is the number of bytes that are copied in a turn, if the pause before it is as
@@ -27,10 +29,22 @@
 
 const (
 	// pause is the time between two turns, and usualPause what becomes of it, since timers of
-	// the system are coarse.
-	pause, usualPause = 100 * time.Microsecond, 150 * time.Microsecond
+	// the system are coarse. The pause is several times as long as a turn takes, so that the
+	// processor is idle in between also if two streams of each request are copied.
+	pause, usualPause = 500 * time.Microsecond, 600 * time.Microsecond
+	// activeTime is the time after its last turn for which a stream counts as one that goes on
+	// asking for turns. Slow senders do not delay others.
+	activeTime = 250 * time.Millisecond
+	// firstBytes is the number of bytes that a stream copies before its first turn. Many may
+	// begin at once.
+	firstBytes = 16 << 10
 	// maxTurnBytes limits a turn after a longer pause.
 	maxTurnBytes = 1 << 20
+	// maxStarted is the number of streams that are copied at once while turns are scarce, and
+	// scarceShare the share of turns that had to be waited for from which they are.
+	maxStarted, scarceShare = 2, 0.5
+	// scarceWeight is the weight of one turn in that share.
+	scarceWeight = 1.0 / 16
 	// rateWeight is the weight of one turn in the mean time of a turn.
 	rateWeight = 1.0 / 32
 )
@@ -46,34 +60,26 @@
 	opened uint64
 	// turnEnd is the end of the last turn.
 	turnEnd time.Time
-	// pending is the number of bytes that open streams have still to copy, as far as known.
-	pending int64
+	// waitedShare is the share of turns that had to be waited for.
+	waitedShare float64
+	// open holds the open streams.
+	open set.Set[*Stream]
 	// turnTime is the mean time in which turnBytes are copied while others wait.
 	turnTime time.Duration
 }
 
 // New returns a Pacer.
-func New() *Pacer { return &Pacer{turnTime: 4 * pause} }
-
-// Foresee returns the time after which all open streams will have ended.
-func (p *Pacer) Foresee() time.Duration {
-	if p == nil {
-		return 0
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return time.Duration(p.pending/turnBytes) * p.turnTime
-}
+func New() *Pacer { return &Pacer{turnTime: usualPause, open: set.Of[*Stream]()} }
 
 // Open returns the stream of one copy. A negative length is an unknown one.
 func (p *Pacer) Open(length int64) *Stream {
-	s := &Stream{pacer: p, left: max(length, 0), turn: make(chan struct{}, 1), allowed: turnBytes}
+	s := &Stream{pacer: p, left: max(length, 0), turn: make(chan struct{}, 1), allowed: firstBytes}
 	if p != nil {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.opened++
 		s.number = p.opened
-		p.pending += s.left
+		p.open.Add(s)
 	}
 	return s
 }
@@ -105,10 +111,14 @@
 func (p *Pacer) request(s *Stream) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	s.lastTurn = time.Now()
 	if !p.taken {
 		p.taken = true
+		p.waitedShare -= p.waitedShare * scarceWeight
 		return false
 	}
+	p.waitedShare += (1 - p.waitedShare) * scarceWeight
+	s.waits = true
 	p.waiting = append(p.waiting, s)
 	return true
 }
@@ -121,6 +131,7 @@
 	}
 	first := slices.MinFunc(p.waiting, func(a, b *Stream) int { return cmp.Compare(a.number, b.number) })
 	p.waiting = slices.DeleteFunc(p.waiting, func(s *Stream) bool { return s == first })
+	first.waits, first.lastTurn = false, p.turnEnd
 	first.turn <- struct{}{}
 }
 
@@ -133,6 +144,12 @@
 	number uint64
 	// turn receives a value when it is the turn of the stream.
 	turn chan struct{}
+	// waits is true while the stream waits for its turn, and lastTurn is when it last asked for
+	// one or got it.
+	waits    bool
+	lastTurn time.Time
+	// queued is true once the stream has asked to start, and started once it may.
+	queued, started bool
 	// allowed is the number of bytes that may be copied before the next turn.
 	allowed int
 }
@@ -143,27 +160,69 @@
 	if s == nil || s.pacer == nil {
 		return
 	}
-	s.addPending(-min(int64(bytes), s.left))
-	s.left -= min(int64(bytes), s.left)
+	s.advance(int64(bytes))
 	if s.allowed -= bytes; s.allowed <= 0 {
 		s.allowed = s.pacer.takeTurn(s)
 	}
 }
 
+// Start reports whether the stream may be copied whole. While turns are scarce a few streams at
+// a time may, those that began first before others.
+func (s *Stream) Start() bool {
+	if s == nil || s.pacer == nil {
+		return true
+	}
+	p := s.pacer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s.queued = true
+	active, now := 0, time.Now()
+	for other := range p.open {
+		switch {
+		case other.queued && !other.started && other.number < s.number:
+			return false
+		case other.started && other.isActive(now):
+			active++
+		}
+	}
+	s.started = active < maxStarted || p.waitedShare < scarceShare
+	return s.started
+}
+
+// isActive reports whether the stream goes on asking for turns. The caller holds the lock.
+func (s *Stream) isActive(now time.Time) bool { return s.waits || now.Sub(s.lastTurn) < activeTime }
+
+// Foresee returns the time after which the stream will have ended, beside those that began
+// before and wait to start or go on asking for turns.
+func (s *Stream) Foresee() time.Duration {
+	if s == nil || s.pacer == nil {
+		return 0
+	}
+	p := s.pacer
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	bytes, now := s.left, time.Now()
+	for other := range p.open {
+		if other.number < s.number && (other.queued && !other.started || other.isActive(now)) {
+			bytes += other.left
+		}
+	}
+	return time.Duration(bytes/turnBytes) * p.turnTime
+}
+
 // Close ends the copy.
 func (s *Stream) Close() {
-	if s == nil {
+	if s == nil || s.pacer == nil {
 		return
 	}
-	s.addPending(-s.left)
-	s.left = 0
+	s.pacer.mu.Lock()
+	defer s.pacer.mu.Unlock()
+	delete(s.pacer.open, s)
 }
 
-func (s *Stream) addPending(bytes int64) {
-	if s.pacer == nil {
-		return
-	}
+// advance records copied bytes.
+func (s *Stream) advance(bytes int64) {
 	s.pacer.mu.Lock()
 	defer s.pacer.mu.Unlock()
-	s.pacer.pending += bytes
+	s.left -= min(bytes, s.left)
 }
