--- a/refuser/code.go
+++ b/refuser/code.go
@@ -33,6 +33,11 @@
 	// MemoryFull refuses a request whose body does not fit beside those of others.
 	MemoryFull Code = 1016
 	BodyLate   Code = 1017
+	// RegionMissing refuses a request that may run only in regions without an upstream of
+	// its service.
+	RegionMissing Code = 1018
+	// ServiceCold refuses a request that would reach more cold upstreams than bear it.
+	ServiceCold Code = 1019
 )
 
 // Codes of refusals between nodes.
@@ -48,6 +53,8 @@
 	UpstreamShed       Code = 2009
 	UpstreamReplaced   Code = 2010
 	PeerMemoryFull     Code = 2011
+	DomainEvacuated    Code = 2012
+	UpstreamCold       Code = 2013
 )
 
 // Codes of failures after which the request may have run.
@@ -107,6 +114,9 @@
 	MemoryFull: {"memory_full", "The node has no room for the body of the request.", http.StatusServiceUnavailable, notRun},
 	BodyLate:   {"body_late", "The body did not arrive before the deadline.", http.StatusRequestTimeout, notRun},
 
+	RegionMissing: {"region_missing", "No upstream of the service is in a region where the request may run.", http.StatusServiceUnavailable, notRun},
+	ServiceCold:   {"service_cold", "Upstreams that the request needs are cold and bear no more; it was refused before it began.", http.StatusServiceUnavailable, notRun},
+
 	EndpointMissing:    {"endpoint_missing", "No upstream of the service is announced.", http.StatusServiceUnavailable, notRun},
 	ShedAtGuard:        {"shed_at_guard", "The upstream is overloaded; the request did not begin.", http.StatusServiceUnavailable, notRun},
 	DeadlineBeforeRun:  {"deadline_before_run", "The deadline passed before the request began.", http.StatusGatewayTimeout, notRun},
@@ -118,6 +128,8 @@
 	UpstreamReplaced:   {"upstream_replaced", "Another upstream has the address.", http.StatusServiceUnavailable, notRun},
 	UpstreamRefused:    {"upstream_refused", "The upstream accepted no connection.", http.StatusServiceUnavailable, notRun},
 	PeerMemoryFull:     {"peer_memory_full", "The node beside the upstream has no room for the body of the request.", http.StatusServiceUnavailable, notRun},
+	DomainEvacuated:    {"domain_evacuated", "The failure domain of the upstream is evacuated.", http.StatusServiceUnavailable, notRun},
+	UpstreamCold:       {"upstream_cold", "The upstream is cold and bears no more requests.", http.StatusServiceUnavailable, notRun},
 
 	ConnectionLost:  {"connection_lost", "The connection was lost after the request was sent.", http.StatusBadGateway, unknown},
 	DeadlinePassed:  {"deadline_passed", "The deadline passed while the request was running.", http.StatusGatewayTimeout, unknown},
