Let the load test select upstreams as the dispatcher does

Cause of TestDeepServiceOverload failing in one run of eight: the simulated hosts called Pick, while the dispatcher has called PickInTime with the time left since. Without the time, one in ten bookings failed throughout the window: half of them in the upstream that is 12 times slower, which was still tried, and half later for lack of time.

Change: the simulation passes the time left, the expected time and the number of calls in turn, as forwarder.Call does. Bounds and events are the same.

--- a/shedder/load_test.go
+++ b/shedder/load_test.go
@@ -170,18 +170,35 @@
 	return nil
 }
 
-// sendCall sends one request or call from a host and reports whether it succeeded.
-func (sim *simulation) sendCall(ctx context.Context, from *host, route string, class schema.Class, rank uint32) bool {
+// need returns the time that is left for a number of calls on a route in turn, and the time
+// that they take, as a host knows it.
+func (sim *simulation) need(ctx context.Context, from *host, route string, series int) balancer.Need {
+	k := sim.graph.kinds[route]
+	deadline, _ := ctx.Deadline()
+	left := time.Until(deadline)
+	if series == 0 {
+		left = min(left, k.objective)
+	}
+	series = max(series, 1)
+	return balancer.Need{Left: left, Expected: from.estimator.SlotTime(route, k.service) * time.Duration(series), Calls: series}
+}
+
+// sendCall sends one request or call from a host and reports whether it succeeded. The
+// series is the number of calls on the route that the host has still to make in turn, or
+// zero for a request of a caller.
+func (sim *simulation) sendCall(ctx context.Context, from *host, route string, class schema.Class, rank uint32, series int) bool {
 	k := sim.graph.kinds[route]
 	tried := set.Of[string]()
 	for range 3 {
-		target, ok := from.balancer.Pick(k.service, tried)
+		target, ok := from.balancer.PickInTime(k.service, sim.need(ctx, from, route, series), tried)
 		if !ok {
 			return false
 		}
 		tried.Add(target.Member.GetName())
 		h := sim.hostByName(target.Member.GetName())
-		permit, err := h.guard.Acquire(ctx, guard.Request{Class: class, Rank: rank, Objective: k.objective})
+		permit, err := h.guard.Acquire(ctx, guard.Request{
+			Class: class, Rank: rank, Objective: k.objective, Expected: from.estimator.SlotTime(route, k.service),
+		})
 		if err != nil {
 			target.Done(balancer.Refused, 0)
 			continue
@@ -210,9 +227,9 @@
 	}
 	calls := map[string]int{}
 	for _, c := range k.calls {
-		for range c.times {
+		for left := c.times; left > 0; left-- {
 			calls[c.route]++
-			if !sim.sendCall(ctx, h, c.route, class, rank) {
+			if !sim.sendCall(ctx, h, c.route, class, rank, left) {
 				return false
 			}
 		}
@@ -236,7 +253,7 @@
 			continue
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), k.timeout)
-		ok := sim.sendCall(ctx, from, route, k.class, rank)
+		ok := sim.sendCall(ctx, from, route, k.class, rank, 0)
 		cancel()
 		switch {
 		case !ok:
