Keep departures of upstreams beyond the end of all nodes

Cause: a departure was in the memory of nodes only. With all nodes killed 0.3 s after it was acknowledged, requests reached the upstream later than allowed if its health check still passed.

Change: the node beside the upstream writes the departure to its directory entry before it acknowledges it, within 0.4 s, and a node that restarts reads its entry before it uses its upstream, for 0.6 s at most. TestCallsOfStart now allows a restart one read of its own entry (counted apart); its bounds on writes and on reads of the whole directory are as before.

Result: TestDepartureOutlivesAllNodes fails before (requests reach the upstream that left) and passes; TestDeparturesOutliveProcesses covers a platform that is down or silent.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -53,11 +53,25 @@
 	Name string
 	// Address is where the node receives beacons.
 	Address string
+	// Left is the instance of the upstream beside the node that left last, if any.
+	Left Departure
+}
+
+// Departure is an instance of an upstream that has announced that it leaves. Born is its
+// start time in milliseconds since the Unix epoch, or zero if unknown.
+type Departure struct {
+	ID   string
+	Born int64
 }
 
 // Directory lists the nodes that have registered and not deregistered.
 type Directory interface {
+	// Register writes an entry unless there is one with its address.
 	Register(ctx context.Context, e Entry) error
+	// Update writes an entry in any case.
+	Update(ctx context.Context, e Entry) error
+	// Entry returns the latest entry of a node, or storer.ErrMissing.
+	Entry(ctx context.Context, name string) (Entry, error)
 	// List returns the entries of all nodes and the number of those that are unreadable.
 	List(ctx context.Context, f Freshness) (entries []Entry, unreadable int, err error)
 	// Sample returns the latest entries of some nodes, the same for all callers. complete
@@ -82,6 +96,12 @@
 	Notice(event string, fields ...any)
 }
 
+// DepartureKeeper keeps departures beyond the end of all nodes.
+type DepartureKeeper interface {
+	// Keep returns once a departure is kept, or can't be kept soon.
+	Keep(ctx context.Context, d Departure)
+}
+
 // HealthPaths returns the health check path of a service.
 type HealthPaths interface {
 	Health(service string) (path string, ok bool)
@@ -100,7 +120,7 @@
 	// NewProber returns the health check of the upstream.
 	NewProber func(HealthPaths) supervisor.Prober
 	// NewReportHandler returns the handler for reports of the upstream.
-	NewReportHandler func(*supervisor.Supervisor, EventLogger) http.Handler
+	NewReportHandler func(*supervisor.Supervisor, DepartureKeeper, EventLogger) http.Handler
 	// NewReadinessHandler returns a handler that answers readiness checks and
 	// passes other requests to rest.
 	NewReadinessHandler func(ready func() bool, rest http.Handler) http.Handler
--- a/attacher/module.go
+++ b/attacher/module.go
@@ -43,6 +43,7 @@
 		fencer.New,
 		witness.New,
 		quarantiner.New,
+		newDepartures,
 		newConfirmer,
 		newCaller,
 		newSupervisor,
@@ -341,7 +342,7 @@
 	refuser *refuser.Refuser
 }
 
-func newTraffic(s *schema.Settings, p *Platform, f *fleet, c *confirmer.Confirmer, cl *caller.Caller, st *supervisor.Supervisor, fence *fencer.Fencer, q *quarantiner.Quarantiner, rec *recorder.Recorder, rep *reporter.Reporter) *traffic {
+func newTraffic(s *schema.Settings, p *Platform, f *fleet, c *confirmer.Confirmer, cl *caller.Caller, st *supervisor.Supervisor, fence *fencer.Fencer, q *quarantiner.Quarantiner, dep *departures, rec *recorder.Recorder, rep *reporter.Reporter) *traffic {
 	settings := s.GetTraffic()
 	maxBodyBytes := int64(settings.GetBody())
 	callerRefuser := refuser.New(rec.Refusals, refuser.WithStatus(p.RefusalStatus), refuser.WithFractionalRetryAfter())
@@ -363,7 +364,7 @@
 		Reporter:       rep,
 		SlotTime:       f.estimator.SlotTime,
 	})
-	upstreams := &closingUpstreams{Upstreams: st}
+	upstreams := &closingUpstreams{Upstreams: &recalledUpstreams{st, dep}}
 	lifetime := &forwarder.Lifetime{}
 	return &traffic{
 		upstreams: upstreams,
--- a/attacher/node.go
+++ b/attacher/node.go
@@ -73,6 +73,7 @@
 	Supervisor  *supervisor.Supervisor
 	Caller      *caller.Caller
 	Quarantiner *quarantiner.Quarantiner
+	Departures  *departures
 	Fleet       *fleet
 	Traffic     *traffic
 }
@@ -99,7 +100,7 @@
 	}
 	p, node := n.parts, n.parts.Settings.GetNode()
 	holds := &archivist{p.Platform.Archive, p.Quarantiner, p.Fleet.beaconer.View, node.GetName(), p.Reporter, make(chan struct{}, 1)}
-	entryRegistrar := &registrar{p.Platform.Directory, p.Fleet.beaconer, p.Reporter, Entry{node.GetName(), node.GetBeacon()}, holds.platformRestored}
+	entryRegistrar := &registrar{p.Platform.Directory, p.Fleet.beaconer, p.Reporter, p.Departures, holds.platformRestored}
 	settingsReloader := &reloader{p.Settings, p.Path, p.Reporter}
 	loops := []func(context.Context){
 		settingsReloader.run, n.connections.run,
@@ -123,7 +124,7 @@
 		server  *nodeServer
 	}{
 		{node.GetPeers(), newNodeServer(n.peerHandler(), nil)},
-		{node.GetLocal(), newNodeServer(p.Platform.NewReportHandler(p.Supervisor, p.Reporter), nil)},
+		{node.GetLocal(), newNodeServer(p.Platform.NewReportHandler(p.Supervisor, p.Departures, p.Reporter), nil)},
 		{node.GetAdmin(), newNodeServer(p.Platform.NewReadinessHandler(ready, n.adminHandler()), nil)},
 		{node.GetCallers(), n.callerServer},
 	}
--- a/attacher/registrar.go
+++ b/attacher/registrar.go
@@ -24,7 +24,8 @@
 	directory Directory
 	beaconer  *beaconer.Beaconer
 	reporter  *reporter.Reporter
-	self      Entry
+	// departures holds the entry of this node, with the last departure of its upstream.
+	departures *departures
 	// onRestored is called after the platform has come back from a copy.
 	onRestored func()
 }
@@ -34,7 +35,9 @@
 func (r *registrar) run(ctx context.Context) {
 	again := time.NewTimer(maxStaleness)
 	defer again.Stop()
-	if r.isRegistered(ctx) {
+	registered := r.isRegistered(ctx)
+	r.departures.recalled.Store(true)
+	if registered {
 		again.Stop()
 	} else {
 		r.enlist(ctx, r.introduce)
@@ -86,9 +89,11 @@
 		return false
 	}
 	r.add(entries)
-	if !slices.Contains(entries, r.self) {
+	self := r.departures.entry()
+	if !slices.ContainsFunc(entries, func(e Entry) bool { return e.Name == self.Name && e.Address == self.Address }) {
 		return false
 	}
+	r.departures.recall(ctx)
 	r.listed(entries, unreadable)
 	return true
 }
@@ -96,7 +101,7 @@
 // introduce registers this node and meets the nodes that all others meet too. They pass
 // on the beacons of those that register at the same time.
 func (r *registrar) introduce(ctx context.Context) error {
-	if err := r.directory.Register(ctx, r.self); err != nil {
+	if err := r.directory.Register(ctx, r.departures.entry()); err != nil {
 		return err
 	}
 	entries, complete, err := r.directory.Sample(ctx)
@@ -120,7 +125,7 @@
 // register registers this node and then lists the others. Of two nodes, the one that
 // registers later finds the other in its list.
 func (r *registrar) register(ctx context.Context) error {
-	if err := r.directory.Register(ctx, r.self); err != nil {
+	if err := r.directory.Register(ctx, r.departures.entry()); err != nil {
 		return err
 	}
 	entries, unreadable, err := r.directory.List(ctx, Latest)
