Handle SIGTERM from before the listeners open

The signals were handled only once all start hooks had run, while the listener of callers was open already.

The daemon now handles the signals before the start. One that arrives during the start is kept and leads to a planned stop after it.

--- a/cmd/quetzald/main.go
+++ b/cmd/quetzald/main.go
@@ -94,12 +94,15 @@
 	if err := app.Err(); err != nil {
 		logger.Fatal("cannot construct node", "err", err)
 	}
+	// Wait handles the signals, which end a process by default. A signal that arrives during
+	// the start, when callers are served already, is kept and leads to a stop after it.
+	stopped := app.Wait()
 	start, cancel := context.WithTimeout(context.Background(), app.StartTimeout())
 	defer cancel()
 	if err := app.Start(start); err != nil {
 		logger.Fatal("cannot start node", "err", err)
 	}
-	<-app.Wait()
+	<-stopped
 	stop, cancel := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer cancel()
 	if err := app.Stop(stop); err != nil {
