Keep requests in the regions of their route and workspace

Routes and workspaces may name regions, by allowedRegions on a platform, but nothing acted on them: a bound request ran anywhere, and its body went there.

The node that received a request now picks only among nodes in regions that both its route and its workspace allow, at every attempt, by the configuration in force then. Where no upstream of the service is in one, the request is refused at once as not run (1018), before it takes a token of its rate. A call that waits in the queue beside an upstream while its region is excluded is refused there and picked anew. Calls of upstreams are bound by their own route only. Owners of idempotency keys outside the regions do not get the answer. quetzalctl sets and lists the regions. Without regions nothing changes.

Picker.PickHashed takes the need of a call, Covers is new, and Pick is no longer part of the interface: only the comparison policy used it.

--- a/attacher/module.go
+++ b/attacher/module.go
@@ -362,6 +362,7 @@
 		Quarantine:     q,
 		Reporter:       rep,
 		SlotTime:       f.estimator.SlotTime,
+		State:          c,
 	})
 	upstreams := &closingUpstreams{Upstreams: st}
 	lifetime := &forwarder.Lifetime{}
@@ -401,6 +402,8 @@
 			Accountant:       account,
 			Pacer:            pacer.New(),
 			Dialect:          p.Dialect,
+			State:            c,
+			Region:           s.GetNode().GetRegion(),
 			DeadlineGrace:    deadlineGrace,
 			Observer:         &upstreamObserver{st, f.estimator, rec},
 			ObserveQueueTime: rec.Queue.Observe,
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -156,10 +156,11 @@
 // Pick selects a node for a call to a service, excluding those already tried. It
 // returns false if no node is left.
 func (b *Balancer) Pick(service string, tried set.Set[string]) (*Target, bool) {
-	members := b.directory.View().Service(service)
-	if b.domain != "" {
-		return b.pickByCapacity(service, members, Need{}, tried)
-	}
+	return b.PickInTime(service, Need{}, tried)
+}
+
+// pickByWait selects the better one of two random nodes.
+func (b *Balancer) pickByWait(service string, members []*schema.Member, tried set.Set[string]) (*Target, bool) {
 	first := b.pickRandom(service, members, tried)
 	if first == nil {
 		return nil, false
@@ -176,10 +177,10 @@
 
 // PickHashed selects a node for a key by rendezvous hashing: all nodes of the fleet select
 // the same one, and another one only while that is not available.
-func (b *Balancer) PickHashed(service string, key uint64, tried set.Set[string]) (*Target, bool) {
+func (b *Balancer) PickHashed(service string, need Need, key uint64, tried set.Set[string]) (*Target, bool) {
 	var best *schema.Member
 	highest := uint64(0)
-	for _, m := range b.directory.View().Service(service) {
+	for _, m := range b.members(service, need) {
 		if tried.Has(m.GetName()) || b.isAvoided(m) || b.hasDeparted(service, m) {
 			continue
 		}
@@ -197,8 +198,8 @@
 
 // PickIndex selects the node at an index, modulo their number, in the list of
 // nodes of a service.
-func (b *Balancer) PickIndex(service string, index uint64) (*Target, bool) {
-	members := b.directory.View().Service(service)
+func (b *Balancer) PickIndex(service string, need Need, index uint64) (*Target, bool) {
+	members := b.members(service, need)
 	if len(members) == 0 {
 		return nil, false
 	}
--- a/balancer/capacity.go
+++ b/balancer/capacity.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"quetzalhub/resolver"
 	"quetzalhub/schema"
 	"quetzalhub/util/set"
 )
@@ -96,7 +97,8 @@
 	s.failureRateAt.Store(time.Now().UnixNano())
 }
 
-// Need is the time in which a call must be answered, and the time that it takes.
+// Need is the time in which a call must be answered, the time that it takes, and the
+// regions in which it may run.
 type Need struct {
 	// Left is the time left for the call and those that follow it in turn.
 	Left time.Duration
@@ -106,6 +108,8 @@
 	// Calls is their number. The time of several varies less than that of one. Zero
 	// counts as one.
 	Calls int
+	// Regions are those in which the call may run. The zero value allows all.
+	Regions resolver.Regions
 }
 
 // lateness returns the chance that the calls do not end in time at an upstream with the
@@ -135,10 +139,11 @@
 // PickInTime selects a node like Pick. If nodes are selected by spare capacity, those at
 // which the call would probably not end in time are avoided.
 func (b *Balancer) PickInTime(service string, need Need, tried set.Set[string]) (*Target, bool) {
+	members := b.members(service, need)
 	if b.domain == "" {
-		return b.Pick(service, tried)
+		return b.pickByWait(service, members, tried)
 	}
-	return b.pickByCapacity(service, b.directory.View().Service(service), need, tried)
+	return b.pickByCapacity(service, members, need, tried)
 }
 
 // pickByCapacity selects a node at random by weight. The weight follows the calls
--- a/cmd/quetzalctl/main.go
+++ b/cmd/quetzalctl/main.go
@@ -32,6 +32,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "help")
 	subcommands.Register(subcommands.FlagsCommand(), "help")
 	subcommands.Register(&workspaceSet{options: o}, "configuration")
+	subcommands.Register(&workspaceRegions{options: o}, "configuration")
 	subcommands.Register(&workspaceList{options: o}, "configuration")
 	subcommands.Register(&workspaceRemove{options: o}, "configuration")
 	subcommands.Register(&keyGive{options: o}, "configuration")
--- a/cmd/quetzalctl/routes.go
+++ b/cmd/quetzalctl/routes.go
@@ -16,13 +16,14 @@
 type routeSet struct {
 	*options
 	methods string
+	regions string
 	route   configurer.Route
 }
 
 func (*routeSet) Name() string     { return "route-set" }
 func (*routeSet) Synopsis() string { return "create or replace a route" }
 func (*routeSet) Usage() string {
-	return "route-set -service NAME [-class CLASS] [-methods LIST] [-idempotent] [-open] [-timeout D] PREFIX\n\n" +
+	return "route-set -service NAME [-class CLASS] [-methods LIST] [-idempotent] [-open] [-timeout D] [-regions LIST] PREFIX\n\n" +
 		"Example: quetzalctl route-set -service orders -class critical -methods POST /orders\n\n"
 }
 
@@ -33,6 +34,7 @@
 	f.BoolVar(&c.route.Idempotent, "idempotent", false, "requests may safely run more than once")
 	f.BoolVar(&c.route.AllowAnonymous, "open", false, "requests need no API key")
 	f.DurationVar(&c.route.Timeout, "timeout", time.Duration(0), "timeout of a request; 0 for the node's default")
+	f.StringVar(&c.regions, "regions", "", "comma-separated list of regions in which requests may run; empty for all")
 }
 
 func (c *routeSet) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
@@ -43,6 +45,7 @@
 	if c.methods != "" {
 		c.route.Methods = strings.Split(strings.ToUpper(c.methods), ",")
 	}
+	c.route.Regions = splitList(c.regions)
 	return c.change(ctx, "route "+f.Arg(0), func(s *schema.State) error {
 		return configurer.SetRoute(s, c.route)
 	})
@@ -66,9 +69,18 @@
 		rows = append(rows, []string{
 			r.GetPrefix(), strings.Join(r.GetMethods(), ","), r.GetService(),
 			configurer.ClassName(r.GetClass()), yesNo(r.GetIdempotent()), yesNo(r.GetOpen()),
+			strings.Join(r.GetRegions(), ","),
 		})
 	}
-	return c.printTable(state.GetConfig().GetRoutes(), "PREFIX\tMETHODS\tSERVICE\tCLASS\tIDEMPOTENT\tOPEN", rows)
+	return c.printTable(state.GetConfig().GetRoutes(), "PREFIX\tMETHODS\tSERVICE\tCLASS\tIDEMPOTENT\tOPEN\tREGIONS", rows)
+}
+
+// splitList returns the elements of a comma-separated list, none for an empty one.
+func splitList(list string) []string {
+	if list == "" {
+		return nil
+	}
+	return strings.Split(list, ",")
 }
 
 func yesNo(b bool) string {
--- a/cmd/quetzalctl/workspaces.go
+++ b/cmd/quetzalctl/workspaces.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"strconv"
+	"strings"
 
 	"github.com/google/subcommands"
 
@@ -38,6 +39,27 @@
 	})
 }
 
+// workspaceRegions binds a workspace to regions.
+type workspaceRegions struct{ *options }
+
+func (*workspaceRegions) Name() string { return "workspace-regions" }
+func (*workspaceRegions) Synopsis() string {
+	return "set the regions in which requests of a workspace may run"
+}
+func (*workspaceRegions) SetFlags(*flag.FlagSet) {}
+func (*workspaceRegions) Usage() string {
+	return "workspace-regions NAME [REGION...]\n\nNo region allows all.\n\nExample: quetzalctl workspace-regions gloves south north\n\n"
+}
+
+func (c *workspaceRegions) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() < 1 {
+		return failUsage("workspace-regions takes a name and the regions")
+	}
+	return c.change(ctx, "workspace "+f.Arg(0), func(s *schema.State) error {
+		return configurer.SetRegions(s, f.Arg(0), f.Args()[1:])
+	})
+}
+
 // workspaceRemove removes a workspace.
 type workspaceRemove struct{ *options }
 
@@ -74,9 +96,9 @@
 	}
 	var rows [][]string
 	for _, w := range state.GetConfig().GetWorkspaces() {
-		rows = append(rows, []string{w.GetName(), formatNumber(w.GetRate()), formatNumber(w.GetBurst()), strconv.Itoa(len(w.GetKeys()))})
+		rows = append(rows, []string{w.GetName(), formatNumber(w.GetRate()), formatNumber(w.GetBurst()), strconv.Itoa(len(w.GetKeys())), strings.Join(w.GetRegions(), ",")})
 	}
-	return c.printTable(state.GetConfig().GetWorkspaces(), "WORKSPACE\tRATE\tBURST\tKEYS", rows)
+	return c.printTable(state.GetConfig().GetWorkspaces(), "WORKSPACE\tRATE\tBURST\tKEYS\tREGIONS", rows)
 }
 
 func formatNumber(v float64) string { return strconv.FormatFloat(v, 'f', -1, 64) }
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -115,6 +115,29 @@
 	return nil
 }
 
+// SetRegions sets the regions in which requests of a workspace may run; none allows all.
+func SetRegions(s *schema.State, workspace string, regions []string) error {
+	w, err := Workspace(s, workspace)
+	if err != nil {
+		return err
+	}
+	if err := checkRegions(regions); err != nil {
+		return err
+	}
+	configForUpdate(s)
+	w.Regions = regions
+	return nil
+}
+
+func checkRegions(regions []string) error {
+	for _, r := range regions {
+		if err := CheckName(r); err != nil {
+			return errors.Annotate(err, "region")
+		}
+	}
+	return nil
+}
+
 // RemoveWorkspace removes a workspace with all its keys.
 func RemoveWorkspace(s *schema.State, name string) error {
 	if _, err := Workspace(s, name); err != nil {
@@ -173,6 +196,8 @@
 	// AllowAnonymous is true if requests without a key are accepted.
 	AllowAnonymous bool
 	Timeout        time.Duration
+	// Regions are those in which requests may run; empty for all.
+	Regions []string
 }
 
 // SetRoute adds a route, replacing the one with the same prefix and methods.
@@ -190,10 +215,13 @@
 	if r.Timeout < 0 || r.Timeout > 10*time.Minute {
 		return errors.NotValidf("timeout %v (from 0s to 10m)", r.Timeout)
 	}
+	if err := checkRegions(r.Regions); err != nil {
+		return err
+	}
 	slices.Sort(r.Methods)
 	route := &schema.Route{
 		Prefix: r.Prefix, Methods: r.Methods, Service: r.Service, Class: class,
-		Idempotent: r.Idempotent, Open: r.AllowAnonymous,
+		Idempotent: r.Idempotent, Open: r.AllowAnonymous, Regions: r.Regions,
 	}
 	if r.Timeout > 0 {
 		route.Timeout = durationpb.New(r.Timeout)
--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"net/http"
+	"net/url"
 	"strconv"
 	"time"
 
@@ -55,6 +56,8 @@
 	// ParseRequest reads what a caller states in a request. Any error is a
 	// *refuser.Error.
 	ParseRequest(r *http.Request) (RequestInfo, error)
+	// RoutePath returns the path that selects the route of a request.
+	RoutePath(u *url.URL) string
 	// ForwardsHeader reports whether a request header is forwarded.
 	ForwardsHeader(name string) bool
 	// SetRequestHeaders adds the headers that describe a request to the upstream.
@@ -92,8 +95,8 @@
 
 // ParseRequest reads the API key from the Authorization header. It rejects
 // requests that contain the key anywhere else, so that it is not forwarded.
-func (Native) ParseRequest(r *http.Request) (RequestInfo, error) {
-	info := RequestInfo{ID: rand.Text(), Path: r.URL.Path}
+func (d Native) ParseRequest(r *http.Request) (RequestInfo, error) {
+	info := RequestInfo{ID: rand.Text(), Path: d.RoutePath(r.URL)}
 	secret, err := bearerToken(r)
 	if err != nil {
 		return info, err
@@ -106,6 +109,9 @@
 	return info, nil
 }
 
+// RoutePath returns the decoded path.
+func (Native) RoutePath(u *url.URL) string { return u.Path }
+
 // ForwardsHeader excludes the Authorization header and the Quetzal headers.
 func (Native) ForwardsHeader(name string) bool {
 	return name != "Authorization" && !isInternalHeader(name)
--- a/forwarder/dispatcher.go
+++ b/forwarder/dispatcher.go
@@ -65,6 +65,7 @@
 	quarantine     Quarantine
 	reporter       Reporter
 	slotTime       func(route, service string) time.Duration
+	state          State
 }
 
 // DispatcherOptions holds the dependencies and settings of a Dispatcher.
@@ -96,6 +97,9 @@
 	// SlotTime returns the mean time that a request of a route takes at the upstreams
 	// of a service, or zero if it is not known. It may be nil.
 	SlotTime func(route, service string) time.Duration
+	// State provides the regions of routes and workspaces at each attempt. If it is nil, those
+	// hold that were in force when the request arrived.
+	State State
 }
 
 // NewDispatcher returns a Dispatcher and creates the retry counters of all
@@ -111,6 +115,7 @@
 		o.SlotTime = func(string, string) time.Duration { return 0 }
 	}
 	return &Dispatcher{
+		state:          o.State,
 		slotTime:       o.SlotTime,
 		quarantine:     o.Quarantine,
 		identity:       o.Identity,
@@ -204,9 +209,10 @@
 	call.Retryable = false
 	var last error
 	for range d.retriesPerCall + 1 {
-		target, ok := d.picker.Pick(call.Service, nil)
+		need := d.need(call)
+		target, ok := d.picker.PickInTime(call.Service, need, nil)
 		if !ok {
-			return nil, &refuser.Error{Code: refuser.EndpointMissing}
+			return nil, missingError(need)
 		}
 		response, _, err := d.send(ctx, call, target)
 		if err == nil && response.Status < http.StatusInternalServerError {
--- a/forwarder/egress.go
+++ b/forwarder/egress.go
@@ -94,6 +94,7 @@
 		Header:    forwardedHeader(r.Header, Native{}),
 		Body:      body,
 		Retryable: true,
+		bounds:    regionBounds{method: r.Method, path: r.URL.Path, regions: resolver.Regions{Route: route.Regions}},
 	}
 	response, err := e.Dispatcher.Do(ctx, call)
 	parent.Pressure.Raise(call.Parent.Pressure.Level())
--- a/forwarder/entry.go
+++ b/forwarder/entry.go
@@ -195,6 +195,7 @@
 		Header:    forwardedHeader(r.Header, e.Dialect),
 		Body:      body,
 		Retryable: true,
+		bounds:    regionBounds{info.Host, r.Method, info.Path, workspace, e.State.Snapshot().Regions(route, workspace)},
 	}
 	if info.Nested && e.Parents != nil {
 		attributes := tracker.CallAttributes{Route: route.Name, Deadline: info.received.Add(info.Timeout), Connection: r.RemoteAddr}
@@ -242,6 +243,9 @@
 	if !ok {
 		return nil, &refuser.Error{Code: refuser.Draining}
 	}
+	if err := e.Dispatcher.checkRegions(call); err != nil {
+		return nil, err
+	}
 	if !route.AllowAnonymous {
 		if err := e.Admitter.Admit(r.Context(), workspace, route.TargetLatency/admissionWaitDivisor); err != nil {
 			return nil, capRetryAfter(err, route.TargetLatency)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -55,13 +55,15 @@
 	Restore(workspace string)
 }
 
-// Picker selects the node for a call, leaving out the nodes already tried.
+// Picker selects the node for a call in a region where it may run, leaving out the nodes
+// already tried.
 type Picker interface {
-	Pick(service string, tried set.Set[string]) (*balancer.Target, bool)
 	// PickInTime selects a node at which the call probably ends in time.
 	PickInTime(service string, need balancer.Need, tried set.Set[string]) (*balancer.Target, bool)
 	// PickHashed selects the same node for the same key as long as it is available.
-	PickHashed(service string, key uint64, tried set.Set[string]) (*balancer.Target, bool)
+	PickHashed(service string, need balancer.Need, key uint64, tried set.Set[string]) (*balancer.Target, bool)
+	// Covers reports whether any node of the service is in such a region.
+	Covers(service string, need balancer.Need) bool
 }
 
 // ConcurrencyLimiter limits the concurrent calls to the local upstream.
@@ -105,6 +107,8 @@
 	Body   Body
 	// Retryable is false if the call must not be retried.
 	Retryable bool
+	// bounds are the regions in which the call may run.
+	bounds regionBounds
 	// offered is the number of upstreams that may have seen the call.
 	offered uint32
 	// series is the number of calls of this kind that the request which makes them has
--- a/forwarder/idempotency.go
+++ b/forwarder/idempotency.go
@@ -11,6 +11,7 @@
 
 	"quetzalhub/deduplicator"
 	"quetzalhub/refuser"
+	"quetzalhub/resolver"
 	"quetzalhub/schema"
 )
 
@@ -25,8 +26,9 @@
 type IdempotencyStore interface {
 	// Claim registers the use of a key at its owner.
 	Claim(ctx context.Context, req *schema.ClaimRequest) (*schema.ClaimResponse, error)
-	// Settle reports the outcome of the request to the owner of its key.
-	Settle(ctx context.Context, req *schema.SettleRequest) error
+	// Settle reports the outcome of the request to the owner of its key. An owner outside the
+	// regions in which the request may run does not get the answer.
+	Settle(ctx context.Context, req *schema.SettleRequest, within resolver.Regions) error
 }
 
 // dispatchWithKey dispatches a request with an idempotency key. However often
@@ -76,7 +78,7 @@
 	response, err := e.dispatch(ctx, call)
 	if err != nil {
 		req.Outcome = refuser.CodeOf(err).Info().Outcome
-		e.sendSettle(ctx, req)
+		e.sendSettle(ctx, call, req)
 		return nil, err
 	}
 	body, readErr := readStorable(response.Body)
@@ -86,17 +88,17 @@
 	}
 	// A response that is too large or truncated is returned as it is, but not
 	// stored. The owner reports its outcome as unknown from now on.
-	e.sendSettle(ctx, req)
+	e.sendSettle(ctx, call, req)
 	response.Body = prependBody(body, readErr, response.Body)
 	return response, nil
 }
 
 // sendSettle sends the outcome of a request. It continues if the caller
 // disconnects.
-func (e *Entry) sendSettle(ctx context.Context, req *schema.SettleRequest) {
+func (e *Entry) sendSettle(ctx context.Context, call *Call, req *schema.SettleRequest) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), checkTimeout)
 	defer cancel()
-	_ = e.IdempotencyStore.Settle(ctx, req)
+	_ = e.IdempotencyStore.Settle(ctx, req, e.Dispatcher.regions(call))
 }
 
 // readStorable reads a body up to the size limit for stored responses. The error
--- a/forwarder/isolation.go
+++ b/forwarder/isolation.go
@@ -71,11 +71,11 @@
 // pick selects the node for the next attempt of a call. Identical isolated calls go to
 // the same node. It returns a refusal if the call is held or no node is left.
 func (d *Dispatcher) pick(call *Call, tried set.Set[string]) (*balancer.Target, error) {
-	missing := &refuser.Error{Code: refuser.EndpointMissing}
+	need := d.need(call)
 	if d.quarantine.Empty() {
-		target, ok := d.pickInTime(call, tried)
+		target, ok := d.picker.PickInTime(call.Service, need, tried)
 		if !ok {
-			return nil, missing
+			return nil, missingError(need)
 		}
 		return target, nil
 	}
@@ -84,21 +84,24 @@
 	if treatment == quarantiner.Held {
 		return nil, heldError(d.quarantine, f, left)
 	}
-	pick := d.pickInTime
+	var target *balancer.Target
+	var ok bool
 	if treatment == quarantiner.Isolated {
-		pick = func(call *Call, tried set.Set[string]) (*balancer.Target, bool) {
-			return d.picker.PickHashed(call.Service, uint64(f), tried)
-		}
+		target, ok = d.picker.PickHashed(call.Service, need, uint64(f), tried)
+	} else {
+		target, ok = d.picker.PickInTime(call.Service, need, tried)
 	}
-	target, ok := pick(call, tried)
 	if !ok {
-		return nil, missing
+		return nil, missingError(need)
 	}
 	return target, nil
 }
 
-func (d *Dispatcher) pickInTime(call *Call, tried set.Set[string]) (*balancer.Target, bool) {
-	return d.picker.PickInTime(call.Service, call.need(d.slotTime(call.Route.Name, call.Service)), tried)
+// need returns what a call needs of a node at present.
+func (d *Dispatcher) need(call *Call) balancer.Need {
+	need := call.need(d.slotTime(call.Route.Name, call.Service))
+	need.Regions = d.regions(call)
+	return need
 }
 
 // fingerprint returns the fingerprint of a call.
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -122,7 +122,7 @@
 }
 
 // Settle stores the outcome of the request of a key.
-func (m *mesh) Settle(_ context.Context, req *schema.SettleRequest) error {
+func (m *mesh) Settle(_ context.Context, req *schema.SettleRequest, _ resolver.Regions) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	standing := schema.Standing_STANDING_UNKNOWN
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -10,6 +10,7 @@
 	"quetzalhub/pacer"
 	"quetzalhub/quarantiner"
 	"quetzalhub/refuser"
+	"quetzalhub/resolver"
 	"quetzalhub/schema"
 	"quetzalhub/tracker"
 	"quetzalhub/transporter"
@@ -57,6 +58,10 @@
 	// Pacer spaces out the copying of large bodies. It may be nil.
 	Pacer   *pacer.Pacer
 	Dialect Dialect
+	// State provides the regions of routes and workspaces, and Region is that of this node.
+	// State may be nil.
+	State  State
+	Region string
 	// DeadlineGrace is the time after the deadline in which the upstream can
 	// still respond that the deadline has passed.
 	DeadlineGrace time.Duration
@@ -140,6 +145,8 @@
 	// isolated is true while the call runs as the only isolated one, and cleared once
 	// the upstream has answered it.
 	isolated, cleared bool
+	// snapshot is the configuration in force when the call came.
+	snapshot *resolver.Snapshot
 	// suspicion is set if the upstream has crashed under the call, or if the call is held.
 	suspicion *schema.Suspicion
 }
@@ -150,7 +157,7 @@
 // ServeHTTP sends a call to the upstream, or refuses it. The report in the
 // response header states whether the call has run.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	rc := &relayCall{envelope: &schema.Envelope{}}
+	rc := &relayCall{envelope: &schema.Envelope{}, snapshot: r.snapshot()}
 	if !decodeHeader(req.Header.Get(HeaderEnvelope), rc.envelope) {
 		r.options.Refuser.Refuse(w, refuser.BadRequest, refuser.Detail{Note: "The envelope header is missing or malformed."})
 		return
@@ -297,6 +304,9 @@
 	if timeLeft(rc.request.Deadline) == 0 {
 		return nil, refuser.DeadlineBeforeRun
 	}
+	if r.excludes(rc, from) {
+		return nil, refuser.RegionMissing
+	}
 	rc.offered = true
 	r.isolator.begin(rc, from)
 	resp, err := r.options.Transport.RoundTrip(r.upstreamRequest(ctx, from, rc))
--- a/naive/naive.go
+++ b/naive/naive.go
@@ -86,20 +86,20 @@
 	return &Picker{balancer: balancer.New(d, "")}
 }
 
-// Pick returns the next node of the service. It ignores the set of nodes to
-// exclude.
-func (p *Picker) Pick(service string, _ set.Set[string]) (*balancer.Target, bool) {
-	return p.balancer.PickIndex(service, p.next.Add(1))
+// PickInTime returns the next node of the service in an allowed region, whatever the time
+// that a call needs. It ignores the set of nodes to exclude.
+func (p *Picker) PickInTime(service string, need balancer.Need, _ set.Set[string]) (*balancer.Target, bool) {
+	return p.balancer.PickIndex(service, need, p.next.Add(1))
 }
 
-// PickInTime returns the next node of the service, whatever the time that a call needs.
-func (p *Picker) PickInTime(service string, _ balancer.Need, tried set.Set[string]) (*balancer.Target, bool) {
-	return p.Pick(service, tried)
+// PickHashed returns the next node of the service in an allowed region, whatever the key.
+func (p *Picker) PickHashed(service string, need balancer.Need, _ uint64, tried set.Set[string]) (*balancer.Target, bool) {
+	return p.PickInTime(service, need, tried)
 }
 
-// PickHashed returns the next node of the service, whatever the key.
-func (p *Picker) PickHashed(service string, _ uint64, tried set.Set[string]) (*balancer.Target, bool) {
-	return p.Pick(service, tried)
+// Covers reports whether any upstream of a service is in an allowed region.
+func (p *Picker) Covers(service string, need balancer.Need) bool {
+	return p.balancer.Covers(service, need)
 }
 
 // ConcurrencyLimiter admits requests in order of arrival, whatever their class
--- a/planner/planner_test.go
+++ b/planner/planner_test.go
@@ -26,6 +26,24 @@
 	return rows
 }
 
+// TestSheetKeepsRegions guards against a sheet that lifts the bound of a workspace, or a route
+// that is set without one of its regions.
+func TestSheetKeepsRegions(t *testing.T) {
+	g := NewWithT(t)
+	s := state(t)
+	g.Expect(configurer.SetRegions(s, "gloves", []string{"south", "north"})).To(Succeed())
+	g.Expect(configurer.SetRegions(s, "gloves", []string{"not a name"})).NotTo(Succeed())
+	g.Expect(configurer.SetRegions(s, "hats", nil)).NotTo(Succeed())
+	rows := sheet(t, "workspace,rate,burst\ngloves,11,20\nplanes,30,40\n")
+	g.Expect(planner.Apply(s, rows, planner.Conditions{Config: s.GetConfig().GetVersion()})).To(Succeed())
+	w, err := configurer.Workspace(s, "gloves")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(w.GetRate()).To(Equal(11.0))
+	g.Expect(w.GetRegions()).To(Equal([]string{"south", "north"}))
+	g.Expect(configurer.SetRoute(s, configurer.Route{Prefix: "/orders", Service: "orders", Class: "normal", Regions: []string{"south"}})).To(Succeed())
+	g.Expect(s.GetConfig().GetRoutes()[0].GetRegions()).To(Equal([]string{"south"}))
+}
+
 func TestPlanThenApply(t *testing.T) {
 	g := NewWithT(t)
 	s := state(t)
--- a/resolver/resolver.go
+++ b/resolver/resolver.go
@@ -61,6 +61,8 @@
 	// TargetLatency is the time within which a response is worth most to the caller;
 	// zero if not set.
 	TargetLatency time.Duration
+	// Regions are those in which requests may run; empty for all.
+	Regions []string
 
 	totalWeight uint32
 	selections  atomic.Uint64
@@ -133,9 +135,13 @@
 	// routes that apply to all hosts.
 	routes map[string]map[string][]*Route
 	limits map[string]Limit
+	// regions holds those of each workspace; empty for all.
+	regions map[string][]string
 	// anyPriority is true if any workspace has a priority.
 	anyPriority bool
-	shards      map[uint32]*schema.Shard
+	// anyRegions is true if any route or workspace has regions.
+	anyRegions bool
+	shards     map[uint32]*schema.Shard
 }
 
 // Compile decodes a state and builds the lookup tables. Keys whose digest has
@@ -146,12 +152,13 @@
 		return nil, errors.Annotate(err, "decoding state")
 	}
 	s := &Snapshot{
-		State:  state,
-		Raw:    raw,
-		keys:   map[Digest]KeyInfo{},
-		routes: map[string]map[string][]*Route{},
-		limits: map[string]Limit{},
-		shards: map[uint32]*schema.Shard{},
+		State:   state,
+		Raw:     raw,
+		keys:    map[Digest]KeyInfo{},
+		routes:  map[string]map[string][]*Route{},
+		limits:  map[string]Limit{},
+		regions: map[string][]string{},
+		shards:  map[uint32]*schema.Shard{},
 	}
 	for _, w := range state.GetConfig().GetWorkspaces() {
 		s.addWorkspace(w)
@@ -167,6 +174,8 @@
 
 func (s *Snapshot) addWorkspace(w *schema.Workspace) {
 	s.limits[w.GetName()] = Limit{Rate: w.GetRate(), Burst: w.GetBurst(), Priority: w.GetPriority(), HasPriority: w.Priority != nil}
+	s.regions[w.GetName()] = w.GetRegions()
+	s.anyRegions = s.anyRegions || len(w.GetRegions()) > 0
 	s.anyPriority = s.anyPriority || w.Priority != nil
 	for _, k := range w.GetKeys() {
 		if len(k.GetDigest()) != sha256.Size {
@@ -195,7 +204,9 @@
 		Host:           r.GetHost(),
 		Attempts:       r.GetAttempts(),
 		TargetLatency:  r.GetObjective().AsDuration(),
+		Regions:        r.GetRegions(),
 	}
+	s.anyRegions = s.anyRegions || len(route.Regions) > 0
 	for _, p := range r.GetParts() {
 		route.Split = append(route.Split, WeightedService{p.GetService(), p.GetWeight()})
 		route.totalWeight += p.GetWeight()
--- a/resolver/resolver_test.go
+++ b/resolver/resolver_test.go
@@ -81,6 +81,45 @@
 	g.Expect(ok).To(BeFalse())
 }
 
+// TestRegions guards against regions that are lost when a state is compiled, and against a
+// route or workspace that lifts the bound of the other one.
+func TestRegions(t *testing.T) {
+	cases := map[string]struct {
+		route, workspace []string
+		allowed          []string
+	}{
+		"none":             {allowed: []string{"south", "north", "east", ""}},
+		"route":            {route: []string{"south"}, allowed: []string{"south"}},
+		"workspace":        {workspace: []string{"north", "east"}, allowed: []string{"north", "east"}},
+		"both":             {route: []string{"south", "north"}, workspace: []string{"north", "east"}, allowed: []string{"north"}},
+		"both, none alike": {route: []string{"south"}, workspace: []string{"north"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			raw, err := proto.Marshal(&schema.State{Version: 1, Config: &schema.Config{
+				Workspaces: []*schema.Workspace{{Name: "gloves", Regions: c.workspace}},
+				Routes:     []*schema.Route{{Prefix: "/orders", Service: "orders", Regions: c.route}},
+			}})
+			g.Expect(err).NotTo(HaveOccurred())
+			s, err := resolver.Compile(raw)
+			g.Expect(err).NotTo(HaveOccurred())
+			route, ok := s.Route("", "GET", "/orders/1")
+			g.Expect(ok).To(BeTrue())
+			regions := s.Regions(route, "gloves")
+			var allowed []string
+			for _, region := range []string{"south", "north", "east", ""} {
+				if regions.Allow(region) {
+					allowed = append(allowed, region)
+				}
+			}
+			g.Expect(allowed).To(Equal(c.allowed))
+			g.Expect(regions.Bound()).To(Equal(s.HasRegions()))
+			g.Expect(s.Regions(route, "")).To(Equal(resolver.Regions{Route: route.Regions}))
+		})
+	}
+}
+
 // BenchmarkLookUp shows that the cost of a lookup does not depend on the size of
 // the configuration.
 func BenchmarkLookUp(b *testing.B) {
--- a/server/owners.go
+++ b/server/owners.go
@@ -7,6 +7,7 @@
 
 	"quetzalhub/caller"
 	"quetzalhub/deduplicator"
+	"quetzalhub/resolver"
 	"quetzalhub/schema"
 )
 
@@ -26,11 +27,15 @@
 	return k.caller.Claim(ctx, owner.GetAddress(), req)
 }
 
-// Settle reports to the owner how the request ended.
-func (k *keyOwners) Settle(ctx context.Context, req *schema.SettleRequest) error {
+// Settle reports to the owner how the request ended. An owner outside the regions in which
+// the request may run does not get the answer.
+func (k *keyOwners) Settle(ctx context.Context, req *schema.SettleRequest, within resolver.Regions) error {
 	owner, ok := k.keys.Owner(req.GetWorkspace(), req.GetKey())
 	if !ok {
 		return errors.NotFoundf("owner of the idempotency key")
 	}
+	if !within.Allow(owner.GetRegion()) {
+		req.Answer = nil
+	}
 	return k.caller.Settle(ctx, owner.GetAddress(), req)
 }
--- a/server/server.go
+++ b/server/server.go
@@ -261,6 +261,7 @@
 		CheckInterval:  settings.GetCheck().AsDuration(),
 		RetryCounts:    p.Recorder.Retries,
 		Reporter:       reporter.Discard{},
+		State:          p.Confirmer,
 	}
 	var admitter forwarder.Admitter = p.Limiter
 	if p.Settings.GetNode().GetPolicy() == policyNaive {
@@ -308,6 +309,8 @@
 			Accountant:   account,
 			Pacer:        pacer.New(),
 			Dialect:      forwarder.Native{},
+			State:        p.Confirmer,
+			Region:       p.Settings.GetNode().GetRegion(),
 			Quarantine:   quarantine,
 			Reporter:     reporter.Discard{},
 		}),
