Limit the requests to a cold upstream in its guard

Cause: an upstream that is cold bears few requests per second and falls over above; nothing kept to that. Change: a token bucket beside that of the stated rate limit, within the bound in any second, also over a restart of the node or the upstream, since a new bucket starts empty. Requests wait 250 ms at most, more urgent ones first, and are refused with 2013 beyond. Result: the tests of guard pass, those of the intake under the race detector too.

--- a/guard/guard.go
+++ b/guard/guard.go
@@ -3,8 +3,8 @@
 //
 // A guard limits the number of concurrent requests at the upstream, queues
 // further requests for a short time, and sheds load by priority. It also keeps to
-// the rate limit that the upstream states, if any. Unless the
-// limit is fixed, it follows from latencies that the guard measures itself; the
+// the rate limit that the upstream states, if any, and to what the upstream bears while
+// it is cold. Unless the limit is fixed, it follows from latencies that the guard measures itself; the
 // guard does not rely on what the upstream reports of its capacity.
 //
 // The priority of a request is its class and then its rank, which is drawn at
@@ -69,6 +69,7 @@
 	mu      sync.Mutex
 	limiter concurrencyLimiter
 	rate    rateLimiter
+	intake  intakeLimiter
 	active  int
 	queue   queue
 	level   level
@@ -115,8 +116,8 @@
 }
 
 // Acquire waits for a permit to run a request at the upstream. It fails with a
-// *refuser.Error of code ShedAtGuard, DeadlineBeforeRun or Draining; the request
-// has then not run.
+// *refuser.Error of code ShedAtGuard, UpstreamCold, DeadlineBeforeRun or Draining; the
+// request has then not run.
 func (g *Guard) Acquire(ctx context.Context, r Request) (*Permit, error) {
 	if ctx.Err() != nil {
 		return nil, &refuser.Error{Code: refuser.DeadlineBeforeRun}
@@ -134,14 +135,18 @@
 		g.mu.Unlock()
 		return nil, &refuser.Error{Code: refuser.ShedAtGuard}
 	}
-	if g.active < g.limiter.limit() && g.queue.length == 0 && g.rate.available(now) {
-		g.rate.take()
+	if g.queue.length == 0 && g.available(now) {
 		g.start(now, r.Expected)
 		g.level.recordDelay(0)
 		g.mu.Unlock()
 		return &Permit{guard: g, admittedAt: now, expected: r.Expected}, nil
 	}
-	w := &waiter{request: r, priority: priority, queuedAt: now, decision: make(chan bool, 1)}
+	if g.intake.limited(now) && !bearsCold(r) {
+		g.intake.refused++
+		g.mu.Unlock()
+		return nil, &refuser.Error{Code: refuser.UpstreamCold}
+	}
+	w := &waiter{request: r, priority: priority, queuedAt: now, cold: g.intake.limited(now), decision: make(chan bool, 1)}
 	evicted := g.queue.push(w, g.queueLimit())
 	g.scheduleAdmission()
 	g.mu.Unlock()
@@ -151,8 +156,16 @@
 	return g.awaitAdmission(ctx, w)
 }
 
+// available reports whether all limits allow another request now. The caller holds the
+// lock.
+func (g *Guard) available(now time.Time) bool {
+	return g.active < g.limiter.limit() && g.rate.available(now) && g.intake.available(now)
+}
+
 // start counts a request that starts at the upstream. The caller holds the lock.
 func (g *Guard) start(now time.Time, expected time.Duration) {
+	g.rate.take()
+	g.intake.take(now)
 	g.active++
 	g.ages.start(now, expected)
 }
@@ -169,6 +182,9 @@
 	if g.rate.limited() {
 		limit = min(limit, max(1, int(g.rate.perSecond*maxRateWait.Seconds())))
 	}
+	if g.intake.limited(time.Now()) {
+		limit = min(limit, g.intake.queueLimit())
+	}
 	return limit
 }
 
@@ -177,26 +193,33 @@
 	if w.request.Objective > 0 {
 		maxWait = w.request.Objective / objectiveWaitDivisor
 	}
+	if w.cold {
+		maxWait = min(maxWait, maxIntakeWait)
+	}
 	timer := time.NewTimer(maxWait)
 	defer timer.Stop()
-	code := refuser.ShedAtGuard
+	expired := false
 	select {
 	case admitted := <-w.decision:
 		return g.newPermit(w, admitted)
 	case <-ctx.Done():
-		code = refuser.DeadlineBeforeRun
+		expired = true
 	case <-timer.C:
 	}
 	g.mu.Lock()
 	removed := g.queue.remove(w)
-	if removed {
+	if removed && !g.intake.limited(time.Now()) {
 		g.level.recordDelay(maxWait)
 	}
 	g.mu.Unlock()
-	if removed {
-		return nil, &refuser.Error{Code: code}
+	switch {
+	case !removed:
+		return g.newPermit(w, <-w.decision)
+	case expired:
+		return nil, &refuser.Error{Code: refuser.DeadlineBeforeRun}
+	default:
+		return g.newPermit(w, false)
 	}
-	return g.newPermit(w, <-w.decision)
 }
 
 func (g *Guard) newPermit(w *waiter, admitted bool) (*Permit, error) {
@@ -249,17 +272,18 @@
 	g.pace += weight * (ratio - g.pace)
 }
 
-// admitQueued admits queued requests up to the concurrency limit and the rate limit;
-// the caller holds the lock.
+// admitQueued admits queued requests up to the limits; the caller holds the lock.
 func (g *Guard) admitQueued(now time.Time) {
-	for g.active < g.limiter.limit() && g.rate.available(now) {
+	for g.available(now) {
 		w := g.queue.pop()
 		if w == nil {
 			return
 		}
-		g.rate.take()
 		g.start(now, w.request.Expected)
-		g.level.recordDelay(now.Sub(w.queuedAt))
+		if !w.cold {
+			// A wait for a cold upstream does not show that too much was admitted by priority.
+			g.level.recordDelay(now.Sub(w.queuedAt))
+		}
 		w.admittedAt = now
 		w.decision <- true
 	}
@@ -293,10 +317,15 @@
 func (g *Guard) rejectionCode() refuser.Code {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.closed {
+	switch {
+	case g.closed:
 		return refuser.Draining
+	case g.intake.limited(time.Now()):
+		g.intake.refused++
+		return refuser.UpstreamCold
+	default:
+		return refuser.ShedAtGuard
 	}
-	return refuser.ShedAtGuard
 }
 
 // Close rejects all queued and all later requests with code Draining.
--- a/guard/queue.go
+++ b/guard/queue.go
@@ -9,6 +9,8 @@
 	request  Request
 	priority uint32
 	queuedAt time.Time
+	// cold is true if the upstream was cold when the request was queued.
+	cold bool
 	// admittedAt is set before true is sent to decision.
 	admittedAt time.Time
 	// decision receives true on admission and false on eviction or Close.
--- a/guard/rate.go
+++ b/guard/rate.go
@@ -71,15 +71,20 @@
 	g.admitQueued(now)
 }
 
-// scheduleAdmission admits queued requests when the rate limit next allows one. The
-// caller holds the lock.
+// scheduleAdmission admits queued requests when the rate limit and the intake of a cold
+// upstream next allow one. The caller holds the lock.
 func (g *Guard) scheduleAdmission() {
-	if !g.rate.limited() || g.queue.length == 0 || g.active >= g.limiter.limit() || g.admissionScheduled {
+	now := time.Now()
+	if !g.rate.limited() && !g.intake.limited(now) || g.queue.length == 0 || g.active >= g.limiter.limit() || g.admissionScheduled {
 		return
 	}
 	g.admissionScheduled = true
+	wait := g.intake.untilNext(now)
+	if g.rate.limited() {
+		wait = max(wait, g.rate.untilNext())
+	}
 	// A timer that fires early by rounding would find no token.
-	time.AfterFunc(g.rate.untilNext()+time.Microsecond, g.admitScheduled)
+	time.AfterFunc(wait+time.Microsecond, g.admitScheduled)
 }
 
 func (g *Guard) admitScheduled() {
