Know when the upstream beside a node is cold

Cause: health checks and missing reports told nothing of cold upstreams, and calls that one can't bear were counted against it or charged as retries. Change: the supervisor learns the cold time from reports and health checks (Cold-Ms), counts an upstream as cold from the first sign that it may have started anew, checks it once, and limits its guard. Beacons state the intake; the balancer and the shedder count with it. Without an intake in the configuration nothing changes.

--- a/attacher/module.go
+++ b/attacher/module.go
@@ -85,7 +85,7 @@
 	return caller.New(s.GetNode().GetName(), c, nil, nil)
 }
 
-// healthPaths reads health check paths from the configuration.
+// healthPaths reads health check paths, and how upstreams warm up, from the configuration.
 type healthPaths struct {
 	confirmer *confirmer.Confirmer
 }
@@ -104,6 +104,21 @@
 	return "", false
 }
 
+// Warmup returns what the configuration says of the upstreams of a service after their
+// start.
+func (p healthPaths) Warmup(service string) supervisor.Warmup {
+	snapshot := p.confirmer.Snapshot()
+	if snapshot == nil {
+		return supervisor.Warmup{}
+	}
+	for _, s := range snapshot.State.GetConfig().GetServices() {
+		if s.GetName() == service {
+			return supervisor.Warmup{Time: s.GetWarmup().AsDuration(), Intake: s.GetIntake()}
+		}
+	}
+	return supervisor.Warmup{}
+}
+
 func newSupervisor(s *schema.Settings, p *Platform, c *confirmer.Confirmer, w *witness.Witness, r *reporter.Reporter) (*supervisor.Supervisor, *upstreamNotifier) {
 	notifier := &upstreamNotifier{}
 	upstream := s.GetUpstream()
@@ -114,6 +129,8 @@
 		Prober:   p.NewProber(healthPaths{c}),
 		Memory:   w,
 		Reporter: r,
+		Warmups:  healthPaths{c},
+		Bound:    supervisor.Bound{Ratio: s.GetBounds().GetWarming(), Margin: s.GetBounds().GetMargin()},
 		OnChange: notifier.announce,
 	}), notifier
 }
@@ -349,6 +366,7 @@
 	requestTracker := &tracker.Tracker{Fanout: f.estimator.Fanout}
 	account := accountant.New(int64(s.GetBounds().GetMemory()) << 20 * int64(settings.GetShare()) / 100)
 	rec.Publish("bodies", func() any { return account.Usage() })
+	rec.Publish("warmth", func() any { return st.Warmth() })
 	dispatcher := forwarder.NewDispatcher(forwarder.DispatcherOptions{
 		Identity:       f.beaconer,
 		Picker:         f.balancer,
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -51,11 +51,17 @@
 	Abandoned
 	// Failed means that the upstream beside the node failed the call.
 	Failed
+	// Cold means that the node refused the call because its upstream is cold and gets as
+	// many as it bears.
+	Cold
 )
 
 const (
 	// refusedBackoff is the time for which a node that refused is avoided.
 	refusedBackoff = 50 * time.Millisecond
+	// coldBackoff is the time for which a node with a cold upstream that bears no more is
+	// avoided. Such an upstream takes one request in about this time, from all nodes.
+	coldBackoff = 100 * time.Millisecond
 	// unreachableBackoff is the time for which an unreachable node is avoided.
 	unreachableBackoff = time.Second
 	// cleanupInterval is the time between removals of statistics of nodes that
@@ -293,12 +299,14 @@
 // each selected node.
 func (t *Target) Done(r Result, latency time.Duration) {
 	t.stats.active.Add(-1)
-	t.stats.recordOutcome(r == Failed || r == Unreachable, r == Refused || r == Abandoned)
+	t.stats.recordOutcome(r == Failed || r == Unreachable, r == Refused || r == Abandoned || r == Cold)
 	switch r {
 	case Answered, Failed:
 		t.updateLatency(latency)
 	case Refused:
 		t.stats.avoidUntil.Store(time.Now().Add(refusedBackoff).UnixNano())
+	case Cold:
+		t.stats.avoidUntil.Store(time.Now().Add(coldBackoff).UnixNano())
 	case Unreachable:
 		t.stats.avoidUntil.Store(time.Now().Add(unreachableBackoff).UnixNano())
 	}
--- a/balancer/capacity.go
+++ b/balancer/capacity.go
@@ -242,6 +242,9 @@
 		c.latency, c.pace = e.GetLatency().AsDuration().Seconds(), float64(e.GetPace())
 		rate = e.GetRate()
 		cold = e.GetCold().AsDuration() > now.Sub(l.receivedAt)
+		if intake := e.GetIntake(); cold && intake > 0 && (rate == 0 || intake < rate) {
+			rate = intake
+		}
 		failureRate = float64(e.GetFailing())
 	}
 	busy = max(busy, float64(s.active.Load()))
@@ -250,7 +253,7 @@
 		if latency == 0 {
 			latency = defaultLatency.Seconds()
 		}
-		// By Little's law, this many requests are active at the stated rate.
+		// By Little's law, this many requests are active at that rate.
 		limit = min(limit, rate*latency)
 	}
 	c.concurrency = max(limit, 1)
--- a/forwarder/dispatcher.go
+++ b/forwarder/dispatcher.go
@@ -49,6 +49,10 @@
 	reasonNotIdempotent = "not_idempotent"
 )
 
+// maxColdRetries is the number of nodes with cold upstreams that may refuse a call, beside
+// the free retries, before it fails. It bounds the messages while all are cold.
+const maxColdRetries = 6
+
 // Dispatcher sends calls to nodes beside upstreams and retries them.
 type Dispatcher struct {
 	identity       Identity
@@ -136,7 +140,7 @@
 	}
 	tried := set.Of[string]()
 	var outcome callOutcome
-	for freeRetries := 0; ; {
+	for freeRetries, coldRetries := 0, 0; ; {
 		target, err := d.pick(call, tried)
 		if err != nil {
 			outcome.addRefusal(err)
@@ -159,6 +163,15 @@
 		if call.Body.spent() {
 			return outcome.result()
 		}
+		if refuser.CodeOf(err) == refuser.UpstreamCold {
+			// Others may have room; the retry budget and the last attempt are left for a call
+			// that an upstream has seen.
+			if coldRetries++; coldRetries > maxColdRetries || !call.fits(d.slotTime(call.Route.Name, call.Service)) || ctx.Err() != nil {
+				return outcome.result()
+			}
+			d.reportResend(call, target, reasonFreeRetry, err)
+			continue
+		}
 		if !offered && freeRetries < d.maxFreeRetries {
 			// No upstream has seen the call, so it is safe to send it to another node.
 			freeRetries++
@@ -397,6 +410,8 @@
 	switch {
 	case code == refuser.UpstreamShed || code == refuser.UpstreamLost:
 		return balancer.Failed
+	case code == refuser.UpstreamCold:
+		return balancer.Cold
 	case code == refuser.DeadlinePassed || code == refuser.DeadlineBeforeRun || code == refuser.CallerGone || code == refuser.BodyCut:
 		return balancer.Abandoned
 	case code.Info().Outcome == schema.Outcome_OUTCOME_NOT_RUN:
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -128,6 +128,13 @@
 	return balancer.Need{Left: left, Expected: slotTime}
 }
 
+// fits reports whether the time left suffices for the call, given the mean time that it
+// takes.
+func (c *Call) fits(slotTime time.Duration) bool {
+	need := c.need(slotTime)
+	return need.Left > need.Expected
+}
+
 // mayOffer reports whether the route allows the call at one more upstream. Nested calls
 // draw on the retry budget of the request that made them, whose route may allow more.
 func (c *Call) mayOffer() bool { return c.Route.Attempts == 0 || c.offered < c.Route.Attempts }
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -105,6 +105,9 @@
 	Rejected
 	// Reassigned means that the address now belongs to another upstream.
 	Reassigned
+	// Lost means that the connection ended without an answer, although the upstream
+	// accepts others. It may have started anew.
+	Lost
 )
 
 // Relay handles calls from other nodes and sends them to the upstream.
@@ -362,7 +365,7 @@
 		r.observe(rc, Unreachable)
 		return refuser.UpstreamCrashed
 	default:
-		r.observe(rc, Failed)
+		r.observe(rc, Lost)
 		return refuser.UpstreamLost
 	}
 }
--- a/shedder/service.go
+++ b/shedder/service.go
@@ -121,6 +121,9 @@
 			if e.GetRate() > 0 {
 				endpointRate = min(endpointRate, e.GetRate())
 			}
+			if e.GetIntake() > 0 {
+				endpointRate = min(endpointRate, e.GetIntake())
+			}
 			usedRate += float64(e.GetBusy()) / latency.Seconds()
 			rate += endpointRate
 		}
--- a/supervisor/confirmation.go
+++ b/supervisor/confirmation.go
@@ -23,7 +23,7 @@
 			s.probe(ctx)
 		}
 		s.logRate(time.Now())
-		if s.isConfirmed() {
+		if s.isConfirmed() && !s.checkIsDue() {
 			timer.Reset(untilSilencePoll())
 		} else {
 			timer.Reset(probePollInterval)
@@ -46,32 +46,44 @@
 }
 
 // needsProbe reports whether a health check is due. An upstream that has sent no
-// report for too long loses its confirmation here.
+// report for too long loses its confirmation here. A confirmed upstream is checked once
+// for each sign that it may have turned cold.
 func (s *Supervisor) needsProbe() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.confirmed && !s.draining && !s.lastSeen.IsZero() && time.Since(s.lastSeen) > s.silenceTimeout() {
 		s.options.Reporter.Notice("upstream_silent", "upstream", s.current.id, "report_age", time.Since(s.lastSeen))
 		s.confirmed, s.trustReports = false, false
+		s.suspectCold("silent")
 	}
-	return !s.confirmed && !s.draining && time.Since(s.lastProbe) >= probeInterval
+	s.suspectQuiet(time.Now())
+	interval := probeInterval
+	if s.warmth.checkDue {
+		interval = checkInterval
+	}
+	return (!s.confirmed || s.warmth.checkDue) && !s.draining && time.Since(s.lastProbe) >= interval
 }
 
 func (s *Supervisor) probe(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	began := time.Now()
 	health, err := s.options.Prober.Probe(ctx, s.options.Address)
 	if errors.Is(err, ErrNoHealthCheck) {
 		return
 	}
 	s.mu.Lock()
 	s.lastProbe = time.Now()
+	if s.warmth.checkDue {
+		s.warmth.checks++
+		s.warmth.checkDue = began.Before(s.warmth.signAt)
+	}
 	s.vacated = s.vacated || errors.Is(err, ErrAddressVacant)
 	s.mu.Unlock()
 	if err != nil || health.ID == "" || !s.isValidID(health.ID, "health check") {
 		return
 	}
-	if s.confirm(health) {
+	if s.confirm(health, began) {
 		s.options.OnChange()
 	}
 }
@@ -93,7 +105,7 @@
 
 // confirm records that an upstream is healthy. It returns false if that upstream is
 // leaving, or may belong to another service.
-func (s *Supervisor) confirm(h Health) bool {
+func (s *Supervisor) confirm(h Health, began time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.isOwn(h.ID) {
@@ -117,6 +129,7 @@
 	if h.Status.RateLimit > 0 {
 		s.setRateLimit(h.Status.RateLimit, now)
 	}
+	s.checkedCold(h.Cold, began, now)
 	s.lastSeen = now
 	s.confirmed, s.trustReports = true, true
 	s.options.Reporter.Notice("upstream_confirmed", "upstream", h.ID)
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -11,6 +11,10 @@
 // An upstream may also state in its responses that it leaves, or how many requests
 // per second it accepts.
 //
+// An upstream is cold for some time after its start, and may turn cold again. Reports and
+// health checks tell; meanwhile it counts as cold from the first sign on that it may have
+// started anew, and gets no more requests than a cold one bears.
+//
 // # Usage
 //
 //	s := supervisor.New(supervisor.Options{...})
@@ -83,6 +87,8 @@
 	Draining bool
 	// Cold is the remaining time for which the instance is slow after its start.
 	Cold time.Duration
+	// ColdUnknown is true if the report does not state Cold.
+	ColdUnknown bool
 }
 
 // ErrNoHealthCheck means that the health check of an upstream is not configured
@@ -105,6 +111,8 @@
 	// ID identifies the instance; it is empty if the upstream did not state it.
 	ID     string
 	Status forwarder.UpstreamStatus
+	// Cold is the remaining time for which the instance is cold.
+	Cold time.Duration
 }
 
 // Memory remembers instances beyond the end of this process, in that the other nodes
@@ -133,6 +141,10 @@
 	Prober   Prober
 	Memory   Memory
 	Reporter Reporter
+	// Warmups provides what cold upstreams bear, and Bound how many requests may reach
+	// one in a second. Warmups may be nil.
+	Warmups Warmups
+	Bound   Bound
 	// OnChange is called when the upstream starts or stops accepting requests.
 	OnChange func()
 }
@@ -151,7 +163,7 @@
 	current      instance
 	lastSequence uint64
 	slots        uint32
-	coldUntil    time.Time
+	warmth       warmth
 	lastSeen     time.Time
 	draining     bool
 	// confirmed is true once a health check has found the current instance healthy,
@@ -214,7 +226,11 @@
 			s.options.Reporter.Notice("report_of_earlier_start", "upstream", r.ID, "born", r.Born, "current", s.current.id)
 			return false
 		}
+		found := s.current == instance{id: r.ID}
 		s.replaceInstance(reported, now)
+		if r.ColdUnknown && !found && s.warmup().Intake > 0 {
+			s.setCold(now.Add(s.warmup().Time), "started", now)
+		}
 	} else if r.Sequence <= s.lastSequence {
 		return false
 	}
@@ -223,7 +239,10 @@
 	if s.foreign.id == r.ID {
 		s.foreign = instance{}
 	}
-	s.lastSequence, s.lastSeen, s.coldUntil = r.Sequence, now, now.Add(r.Cold)
+	s.lastSequence, s.lastSeen, s.warmth.heardAt = r.Sequence, now, now
+	if !r.ColdUnknown {
+		s.reportedCold(r.Cold, now)
+	}
 	if r.Slots > 0 && r.Slots != s.slots {
 		s.slots = r.Slots
 		s.guard.Resize(limitFor(r.Slots))
@@ -252,6 +271,7 @@
 // caller holds the lock.
 func (s *Supervisor) loseConfirmation(reason string) {
 	s.confirmed, s.trustReports = false, false
+	s.suspectCold(reason)
 	s.options.Reporter.Notice("upstream_lost", "upstream", s.current.id, "why", reason, "report_age", time.Since(s.lastSeen))
 }
 
@@ -268,6 +288,7 @@
 	s.draining, s.reported = s.draining && sameInstance, false
 	s.current, s.lastSequence, s.lastSeen, s.failureRatio = next, 0, now, 0
 	s.rejections = rejections{}
+	s.warmth.heardAt = now
 	if s.draining {
 		s.options.Memory.RecordDeparture(next.id, next.born)
 	}
@@ -275,6 +296,8 @@
 		s.slots = initialSlots
 		s.guard = newGuard(s.slots)
 		s.rateLimit, s.rateLimitAt = 0, time.Time{}
+		// What was known of the instance before does not hold for this one.
+		s.warmth.coldUntil, s.warmth.evidenceAt, s.warmth.checkDue = time.Time{}, time.Time{}, false
 	}
 	s.recallRate(now)
 }
@@ -389,8 +412,8 @@
 	}
 	e.Failing = float32(s.failureRatio * math.Exp2(-float64(time.Since(s.lastOutcome))/float64(failureHalfLife)))
 	e.Rejecting = float32(s.rejections.share(time.Now()))
-	if cold := time.Until(s.coldUntil); cold > 0 {
-		e.Cold = durationpb.New(cold)
+	if cold := time.Until(s.warmth.coldUntil); cold > 0 {
+		e.Cold, e.Intake = durationpb.New(cold), s.warmup().Intake
 	}
 	return e
 }
@@ -424,12 +447,18 @@
 		}
 		s.loseConfirmation(reason)
 	}
+	switch {
+	case o == forwarder.Lost:
+		s.suspectCold("connection lost")
+	case o == forwarder.Succeeded || o == forwarder.Rejected:
+		s.warmth.heardAt = s.lastOutcome
+	}
+	due := s.warmth.checkDue
 	s.mu.Unlock()
+	if lost || due {
+		s.wake()
+	}
 	if lost {
-		select {
-		case s.lost <- struct{}{}:
-		default:
-		}
 		s.options.OnChange()
 	}
 }
