Test what cold upstreams count for in the balancer and the shedder

Failed before the change: 'one upstream cold, with an intake' and 'cold upstreams do what they bear'. Both packages' tests named here pass now.

--- a/balancer/capacity_test.go
+++ b/balancer/capacity_test.go
@@ -67,6 +67,21 @@
 			[4]float64{0.1, 0.5, 0, 0},
 			[4]float64{0.4, 0.85, 0.1, 0.1},
 		},
+		"one upstream cold, with an intake": {
+			func(l []*schema.Endpoint) { l[0].Cold, l[0].Intake, l[0].Active = durationpb.New(time.Minute), 12, 0 },
+			[4]balancer.Result{},
+			[4]float64{0, 0.8, 0, 0},
+			[4]float64{0.05, 1, 0.1, 0.1},
+		},
+		"one upstream warm by now": {
+			func(l []*schema.Endpoint) { l[0].Cold, l[0].Intake = durationpb.New(time.Millisecond), 12 },
+			[4]balancer.Result{},
+			[4]float64{0.4, 0.4, 0, 0},
+			[4]float64{0.6, 0.6, 0.1, 0.1},
+		},
+		"one cold upstream that bears no more": {
+			nil, [4]balancer.Result{balancer.Cold}, [4]float64{0, 0.8, 0, 0}, [4]float64{0.1, 1, 0.1, 0.1},
+		},
 		"one upstream fails 40% of its calls quickly": {
 			func(l []*schema.Endpoint) { l[0].Failing, l[0].Latency = 0.4, durationpb.New(20*time.Millisecond) },
 			[4]balancer.Result{},
--- a/shedder/shedder_test.go
+++ b/shedder/shedder_test.go
@@ -201,6 +201,19 @@
 			[]stream{{0, "both", 2, 200}, {1, "download", 2, 10}},
 			[]bounds{{0.4, 0.6}, {1, 1}},
 		},
+		"cold upstreams do what they bear": {
+			func() staticFleet {
+				f := staticFleet{}
+				for i := range 4 {
+					f.add("registry", 100, 100*time.Millisecond, 1.2)
+					e := f[fmt.Sprint("node-", i)].Endpoints[0]
+					e.Cold, e.Intake = durationpb.New(time.Minute), 12
+				}
+				return f
+			},
+			[]stream{{0, "look-up", 2, 140}},
+			[]bounds{{0.25, 0.45}},
+		},
 		"estimate is corrected for an idle service": {
 			func() staticFleet {
 				f := staticFleet{}
