Notice an upstream that restarts while no request runs

Cause: in 1 of 10 runs of TestDomainComesBackCold one of four upstreams that were back after 5 ms under the same identifier was overrun: none of its requests was running, so no lost connection told of the restart. Change: the transporter reports when a request finds all idle connections closed, the last within half a second of its use; the supervisor then counts the upstream as cold and checks it.

--- a/attacher/module.go
+++ b/attacher/module.go
@@ -414,7 +414,7 @@
 			Fencer:           fence,
 			Tracker:          requestTracker,
 			Refuser:          nodeRefuser,
-			Transport:        transporter.New(nil, transporter.Accept(p.IsResponseTo)),
+			Transport:        transporter.New(nil, transporter.Accept(p.IsResponseTo), transporter.OnReset(func(string) { st.Recheck() })),
 			MaxBodyBytes:     maxBodyBytes,
 			Accountant:       account,
 			Pacer:            pacer.New(),
--- a/transporter/idle_test.go
+++ b/transporter/idle_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -100,3 +101,69 @@
 		return
 	}
 }
+
+// TestOnReset guards against a restart of a peer that is not noticed because no request was
+// running, and against one that is noticed without reason.
+func TestOnReset(t *testing.T) {
+	cases := map[string]struct {
+		// closed is the number of connections of three that the peer closes.
+		closed int
+		pause  time.Duration
+		resets int
+	}{
+		"the peer restarts":              {3, 0, 1},
+		"one connection stays open":      {2, 0, 0},
+		"all stay open":                  {0, 0, 0},
+		"long after the last request":    {3, 600 * time.Millisecond, 0},
+		"shortly after the last request": {3, 100 * time.Millisecond, 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			var conns []net.Conn
+			var mu sync.Mutex
+			together := make(chan struct{})
+			s := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-together }))
+			s.Config.ConnState = func(c net.Conn, state http.ConnState) {
+				if state == http.StateNew {
+					mu.Lock()
+					defer mu.Unlock()
+					conns = append(conns, c)
+				}
+			}
+			s.Start()
+			defer s.Close()
+			resets := 0
+			tr := transporter.New(nil, transporter.OnReset(func(address string) {
+				g.Expect(address).To(Equal(s.Listener.Addr().String()))
+				resets++
+			}))
+			send := func() {
+				req, err := http.NewRequest(http.MethodGet, s.URL, nil)
+				g.Expect(err).NotTo(HaveOccurred())
+				resp, err := tr.RoundTrip(req)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(resp.Body.Close()).To(Succeed())
+			}
+			var group sync.WaitGroup
+			for range 3 {
+				group.Go(send)
+			}
+			g.Eventually(func() int {
+				mu.Lock()
+				defer mu.Unlock()
+				return len(conns)
+			}).Should(Equal(3))
+			close(together)
+			group.Wait()
+			time.Sleep(c.pause)
+			for _, conn := range conns[:c.closed] {
+				g.Expect(conn.Close()).To(Succeed())
+			}
+			time.Sleep(10 * time.Millisecond)
+			send()
+			send()
+			g.Expect(resets).To(Equal(c.resets))
+		})
+	}
+}
--- a/transporter/options.go
+++ b/transporter/options.go
@@ -16,6 +16,12 @@
 	return func(t *Transporter) { t.accept = match }
 }
 
+// OnReset sets a function that is called when a request finds all idle connections to its
+// address closed, the last of them soon after its use. The peer has probably restarted.
+func OnReset(notify func(address string)) Option {
+	return func(t *Transporter) { t.onReset = notify }
+}
+
 // tcpUserTimeout is the socket option TCP_USER_TIMEOUT, which package syscall
 // does not name.
 const tcpUserTimeout = 18
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -59,6 +59,9 @@
 	// reused, so that a peer that keeps sending on them does not fill their buffers.
 	// Each is read once after its last use, since a node has thousands of them.
 	sweepInterval = 2 * time.Second
+	// recentUse is the time after its use within which a peer does not close an idle
+	// connection without a reason.
+	recentUse = 500 * time.Millisecond
 	// responseGrace is the time allowed to read a response after a failed write.
 	responseGrace = 50 * time.Millisecond
 )
@@ -86,6 +89,8 @@
 	// userTimeout is set by the option UserTimeout.
 	userTimeout time.Duration
 	accept      func(*http.Request, *http.Response) bool
+	// onReset is set by the option OnReset.
+	onReset func(address string)
 
 	mu   sync.Mutex
 	idle map[string][]*connection
@@ -144,14 +149,19 @@
 
 // connect returns an idle connection or a new one.
 func (t *Transporter) connect(ctx context.Context, address string) (*connection, error) {
+	reset := false
 	for {
 		c := t.takeIdle(address)
 		if c == nil {
+			if reset && t.onReset != nil {
+				t.onReset(address)
+			}
 			return t.dial(ctx, address)
 		}
 		if c.reusable() {
 			return c, nil
 		}
+		reset = reset || time.Since(c.idleSince) < recentUse
 		_ = c.Close()
 	}
 }
