Tell an upstream that restarts from one that loses answers

Cause: found in review. A single lost connection made an upstream count as cold until a health check, and each further loss began that anew. An upstream that loses one answer in twenty under load would get no more than a cold one bears for as long as it does.

Change: the upstream counts as cold once all requests that were active at the first loss are lost; an answer to a request sent before that loss shows that it goes on. Idle connections that were closed count only while no other request is active or the upstream is silent.

--- a/attacher/module.go
+++ b/attacher/module.go
@@ -416,7 +416,7 @@
 			Fencer:           fence,
 			Tracker:          requestTracker,
 			Refuser:          nodeRefuser,
-			Transport:        transporter.New(nil, transporter.Accept(p.IsResponseTo), transporter.OnReset(func(string) { st.Recheck() })),
+			Transport:        transporter.New(nil, transporter.Accept(p.IsResponseTo), transporter.OnReset(func(string) { st.IdleLost() })),
 			MaxBodyBytes:     maxBodyBytes,
 			Accountant:       account,
 			Pacer:            pacer.New(),
--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -77,6 +77,8 @@
 	RateLimit float64
 	// Leaving is true if the upstream is about to stop.
 	Leaving bool
+	// Sent is the time at which the request was sent that it answered, or zero if unknown.
+	Sent time.Time
 }
 
 // UpstreamMetadata holds what is sent to an upstream about a request.
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -312,6 +312,7 @@
 	}
 	rc.offered = true
 	r.isolator.begin(rc, from)
+	sent := time.Now()
 	resp, err := r.options.Transport.RoundTrip(r.upstreamRequest(ctx, from, rc))
 	if err != nil {
 		return nil, r.errorCode(from, rc, transporter.Sent(err))
@@ -329,7 +330,9 @@
 		r.observe(rc, Succeeded)
 	}
 	if r.options.Observer != nil && (kind == ResponseValid || kind == ResponseShed) {
-		r.options.Observer.ObserveStatus(rc.upstream.ID, rc.upstream.Born, r.options.Dialect.ParseUpstreamStatus(resp.Header))
+		status := r.options.Dialect.ParseUpstreamStatus(resp.Header)
+		status.Sent = sent
+		r.options.Observer.ObserveStatus(rc.upstream.ID, rc.upstream.Born, status)
 	}
 	if code != refuser.None {
 		resp.Body.Close()
--- a/supervisor/fleet_test.go
+++ b/supervisor/fleet_test.go
@@ -179,7 +179,7 @@
 func (h *coldHost) serve(ctx context.Context) refuser.Code {
 	node := h.supervisor()
 	if h.connect() {
-		node.Recheck()
+		node.IdleLost()
 	}
 	ended, cold := h.arrive()
 	if ended == nil {
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -164,6 +164,7 @@
 	lastSequence uint64
 	slots        uint32
 	warmth       warmth
+	losses       losses
 	lastSeen     time.Time
 	draining     bool
 	// confirmed is true once a health check has found the current instance healthy,
@@ -449,7 +450,9 @@
 	}
 	switch {
 	case o == forwarder.Lost:
-		s.suspectCold("connection lost")
+		if s.losses.add(s.lastOutcome, s.activeRequests()) {
+			s.suspectCold("connections lost")
+		}
 	case o == forwarder.Succeeded || o == forwarder.Rejected:
 		s.warmth.heardAt = s.lastOutcome
 	}
@@ -473,6 +476,7 @@
 	changed := status.Leaving && s.leave(stated, "stated in a response")
 	if stated == s.current || stated == (instance{id: s.current.id}) {
 		s.observeRate(status.RateLimit, time.Now())
+		s.losses.answered(status.Sent)
 	}
 	s.mu.Unlock()
 	if changed {
--- a/supervisor/warmth_test.go
+++ b/supervisor/warmth_test.go
@@ -300,3 +300,63 @@
 		g.Expect(c.prober.count()).To(Equal(before))
 	})
 }
+
+// TestLostAnswers guards against an upstream that loses single answers and is held for one
+// that has started anew, so that it gets no more than a cold one bears, and against one that
+// has started anew under load and is held for one that loses answers.
+func TestLostAnswers(t *testing.T) {
+	cases := map[string]struct {
+		active int
+		// act observes what becomes of the active requests, which were sent at the given time.
+		act  func(c *coldCase, sent time.Time)
+		cold bool
+	}{
+		"one of many is lost": {10, func(c *coldCase, _ time.Time) { c.Observe("orders", forwarder.Lost) }, false},
+		"many are lost by turns": {10, func(c *coldCase, sent time.Time) {
+			for range 40 {
+				c.Observe("orders", forwarder.Lost)
+				c.ObserveStatus("a", 10, forwarder.UpstreamStatus{Sent: sent})
+			}
+		}, false},
+		"all are lost": {10, func(c *coldCase, _ time.Time) {
+			for range 10 {
+				c.Observe("orders", forwarder.Lost)
+			}
+		}, true},
+		"all are lost, one answer was on its way": {10, func(c *coldCase, sent time.Time) {
+			c.Observe("orders", forwarder.Lost)
+			c.ObserveStatus("a", 10, forwarder.UpstreamStatus{Sent: sent})
+			for range 10 {
+				c.Observe("orders", forwarder.Lost)
+			}
+		}, true},
+		"answers to later requests prove nothing": {2, func(c *coldCase, _ time.Time) {
+			c.Observe("orders", forwarder.Lost)
+			c.ObserveStatus("a", 10, forwarder.UpstreamStatus{Sent: time.Now().Add(time.Millisecond)})
+			c.Observe("orders", forwarder.Lost)
+		}, true},
+		"the only one is lost": {1, func(c *coldCase, _ time.Time) { c.Observe("orders", forwarder.Lost) }, true},
+		"idle connections are closed": {10, func(c *coldCase, sent time.Time) {
+			c.Observe("orders", forwarder.Succeeded)
+			c.IdleLost()
+		}, false},
+		"idle connections are closed and nothing else is active": {1, func(c *coldCase, _ time.Time) { c.IdleLost() }, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			runCold(t, supervisor.Warmup{Time: 6 * time.Second, Intake: 12}, func(g *WithT, upstream *coldCase) {
+				upstream.report("a", 10, 0)
+				time.Sleep(time.Second)
+				up, _ := upstream.UpstreamFor("orders")
+				for range c.active {
+					_, err := up.Limiter.Acquire(context.Background(), guard.Request{})
+					g.Expect(err).NotTo(HaveOccurred())
+				}
+				sent := time.Now()
+				time.Sleep(10 * time.Millisecond)
+				c.act(upstream, sent)
+				g.Expect(upstream.endpoint().GetIntake() > 0).To(Equal(c.cold))
+			})
+		})
+	}
+}
