Ration requests at the entry while upstreams are cold

Cause: while upstreams are cold, entries admit requests whose calls can't be carried below. All work done above is lost, and callers hear it late. After a loss of power no node knows costs, inflows or has met others.

Change: package rationer, in front of the shedder, gives each node its part of what the upstreams of a service with cold ones bear, in calls; a request takes what it needs of all such services or is refused with service_cold and the time until there is room. Costs are written to the store by one node, seldom, and read by each node at its start; measured ones go first. The schema gains Costs and Profile.nodes.

--- a/attacher/archivist.go
+++ b/attacher/archivist.go
@@ -73,16 +73,21 @@
 
 // isKeeper reports whether this node writes a record that another one has made.
 func (a *archivist) isKeeper(s *schema.Suspicion) bool {
+	return keeper(a.view(), recordName(s)) == a.self
+}
+
+// keeper returns the live node that writes a record, by the rendezvous hash of its name.
+func keeper(view *gossiper.View, record string) string {
 	keeper, highest := "", uint64(0)
-	for name, m := range a.view().Members {
+	for name, m := range view.Members {
 		if !gossiper.Live(m) {
 			continue
 		}
-		if hash := xxhash.Sum64String(recordName(s) + name); keeper == "" || hash > highest {
+		if hash := xxhash.Sum64String(record + name); keeper == "" || hash > highest {
 			keeper, highest = name, hash
 		}
 	}
-	return keeper == a.self
+	return keeper
 }
 
 // load reads the records, with retries, and removes those that are too old.
--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -77,6 +77,14 @@
 	Remove(ctx context.Context, name string) error
 }
 
+// CostArchive keeps the record of the costs of requests beyond a restart of all nodes.
+type CostArchive interface {
+	SaveCosts(ctx context.Context, record []byte) error
+	// LoadCosts returns a record that may be up to maxStaleness old, and none if there is
+	// none.
+	LoadCosts(ctx context.Context) ([]byte, error)
+}
+
 // EventLogger logs events, such as reports that can't be read.
 type EventLogger interface {
 	Notice(event string, fields ...any)
@@ -92,6 +100,7 @@
 	Source    Source
 	Directory Directory
 	Archive   Archive
+	Costs     CostArchive
 	Dialect   forwarder.Dialect
 	// IsResponseTo reports whether a response of the upstream matches a request.
 	IsResponseTo func(*http.Request, *http.Response) bool
--- a/attacher/module.go
+++ b/attacher/module.go
@@ -21,6 +21,7 @@
 	"quetzalhub/gossiper/udp"
 	"quetzalhub/pacer"
 	"quetzalhub/quarantiner"
+	"quetzalhub/rationer"
 	"quetzalhub/recorder"
 	"quetzalhub/refuser"
 	"quetzalhub/reporter"
@@ -337,6 +338,7 @@
 	upstreams *closingUpstreams
 	lifetime  *forwarder.Lifetime
 	responder *responder.Responder
+	rationer  *rationer.Rationer
 	// refuser refuses requests of callers.
 	refuser *refuser.Refuser
 }
@@ -365,7 +367,9 @@
 	})
 	upstreams := &closingUpstreams{Upstreams: st}
 	lifetime := &forwarder.Lifetime{}
+	admission := rationer.New(rationer.Options{Fleet: f.beaconer, Costs: f.estimator, Shedder: f.shedder, Intake: configuredIntake(c), Reporter: rep})
 	return &traffic{
+		rationer:  admission,
 		upstreams: upstreams,
 		lifetime:  lifetime,
 		refuser:   callerRefuser,
@@ -384,7 +388,7 @@
 			Refuser:        callerRefuser,
 			Parents:        requestTracker,
 			Adviser:        retryAdviser{},
-			LoadShedder:    f.shedder,
+			LoadShedder:    admission,
 			Lifetime:       lifetime,
 			ObserveLatency: rec.Requests.Observe,
 			Reporter:       rep,
--- a/attacher/node.go
+++ b/attacher/node.go
@@ -83,6 +83,7 @@
 	p.Recorder.Publish("members_live", func() any { return p.Fleet.beaconer.View().LiveCount() })
 	p.Recorder.Publish("upstream", func() any { return p.Supervisor.Endpoints() })
 	p.Recorder.Publish("shares", func() any { return p.Fleet.shedder.Shares() })
+	p.Recorder.Publish("cold", func() any { return p.Traffic.rationer.Budgets() })
 	p.Recorder.Publish("requests_held", func() any { return len(p.Quarantiner.HeldSuspicions()) })
 	p.Recorder.Publish("log_lines_dropped", func() any { return p.Reporter.Dropped() })
 	p.Recorder.Publish("caller_connections", func() any { return n.connections.count() })
@@ -100,10 +101,11 @@
 	p, node := n.parts, n.parts.Settings.GetNode()
 	holds := &archivist{p.Platform.Archive, p.Quarantiner, p.Fleet.beaconer.View, node.GetName(), p.Reporter, make(chan struct{}, 1)}
 	entryRegistrar := &registrar{p.Platform.Directory, p.Fleet.beaconer, p.Reporter, Entry{node.GetName(), node.GetBeacon()}, holds.platformRestored}
+	costs := newCostKeeper(p.Platform.Costs, p.Fleet.estimator, p.Confirmer, p.Fleet.beaconer.View, node.GetName(), p.Reporter)
 	settingsReloader := &reloader{p.Settings, p.Path, p.Reporter}
 	loops := []func(context.Context){
 		settingsReloader.run, n.connections.run,
-		p.Reporter.Run, p.Fleet.beaconer.Run, p.Fleet.balancer.Run, p.Fleet.shedder.Run, p.Fleet.configWatcher.run, p.Caller.Run, p.Supervisor.Run, entryRegistrar.run, holds.run,
+		p.Reporter.Run, p.Fleet.beaconer.Run, p.Fleet.balancer.Run, p.Fleet.shedder.Run, p.Fleet.configWatcher.run, p.Caller.Run, p.Supervisor.Run, entryRegistrar.run, holds.run, costs.run,
 	}
 	for _, loop := range loops {
 		n.group.Go(func() { loop(ctx) })
--- a/estimator/estimator.go
+++ b/estimator/estimator.go
@@ -12,6 +12,7 @@
 //	p.RecordSuccess("place", 120*time.Millisecond, map[string]int{"stock": 2}, nil)
 //	p.StoreProfiles("node-2", profiles) // and send p.Profiles() to other nodes
 //	costs := p.Costs("place")           // costs["stock-service"] is a time
+//	p.Load(profiles)                    // of an earlier run of the fleet
 package estimator
 
 import (
@@ -71,6 +72,8 @@
 	service string
 	costs   atomic.Pointer[map[string]map[string]time.Duration]
 	counts  atomic.Pointer[map[string]map[string]float64]
+	// incomplete holds the routes that lead to calls on routes without a profile.
+	incomplete atomic.Pointer[set.Set[string]]
 
 	mu     sync.Mutex
 	routes map[string]*routeStats
@@ -85,7 +88,10 @@
 	// peerProfiles holds the last profiles of each other node, by its name, and
 	// those of this node under the empty name.
 	peerProfiles map[string][]*schema.Profile
-	computedAt   time.Time
+	// recorded holds the profiles of an earlier run of the fleet.
+	recorded   []*schema.Profile
+	recordedAt time.Time
+	computedAt time.Time
 }
 
 // New returns an estimator for a node beside an upstream of a service.
@@ -96,6 +102,7 @@
 	}
 	p.costs.Store(&map[string]map[string]time.Duration{})
 	p.counts.Store(&map[string]map[string]float64{})
+	p.incomplete.Store(&set.Set[string]{})
 	return p
 }
 
@@ -279,6 +286,13 @@
 	return (*p.counts.Load())[route]
 }
 
+// Complete reports whether the profiles of a route and of all calls that it leads to are
+// known.
+func (p *Estimator) Complete(route string) bool {
+	_, known := (*p.counts.Load())[route]
+	return known && !p.incomplete.Load().Has(route)
+}
+
 // mergedProfile is the sum of the profiles that nodes sent for a route. The field
 // service counts these nodes by their service.
 type mergedProfile struct {
@@ -288,30 +302,39 @@
 	calls    map[string]float64
 }
 
+// addProfile adds a profile that counts as those of a number of nodes.
+func addProfile(all map[string]*mergedProfile, profile *schema.Profile, nodes float64) {
+	m := all[profile.GetRoute()]
+	if m == nil {
+		m = &mergedProfile{service: map[string]float64{}, calls: map[string]float64{}}
+		all[profile.GetRoute()] = m
+	}
+	m.nodes += nodes
+	m.slotTime += nodes * profile.GetBusy().AsDuration().Seconds()
+	m.service[profile.GetService()] += nodes
+	for _, c := range profile.GetCalls() {
+		m.calls[c.GetRoute()] += nodes * float64(c.GetCount())
+	}
+}
+
 // recompute computes the costs from all profiles; the caller holds the lock.
 func (p *Estimator) recompute() {
 	all := map[string]*mergedProfile{}
 	p.peerProfiles[""] = p.localProfiles()
 	for _, profiles := range p.peerProfiles {
 		for _, profile := range profiles {
-			m := all[profile.GetRoute()]
-			if m == nil {
-				m = &mergedProfile{service: map[string]float64{}, calls: map[string]float64{}}
-				all[profile.GetRoute()] = m
-			}
-			m.nodes++
-			m.slotTime += profile.GetBusy().AsDuration().Seconds()
-			m.service[profile.GetService()]++
-			for _, c := range profile.GetCalls() {
-				m.calls[c.GetRoute()] += float64(c.GetCount())
-			}
+			addProfile(all, profile, 1)
 		}
 	}
+	p.addRecorded(all)
 	costs := make(map[string]map[string]time.Duration, len(all))
 	counts := make(map[string]map[string]float64, len(all))
+	incomplete := set.Of[string]()
 	for route := range all {
 		s := serviceTotals{map[string]float64{}, map[string]float64{}}
-		s.addRoute(all, route)
+		if !s.addRoute(all, route) {
+			incomplete.Add(route)
+		}
 		costs[route] = map[string]time.Duration{}
 		for service, seconds := range s.slotTime {
 			costs[route][service] = time.Duration(seconds * float64(time.Second))
@@ -320,6 +343,7 @@
 	}
 	p.costs.Store(&costs)
 	p.counts.Store(&counts)
+	p.incomplete.Store(&incomplete)
 }
 
 // serviceTotals holds the slot time in seconds and the number of arrivals by
@@ -331,14 +355,17 @@
 
 // addRoute adds one request of a route and all calls that it leads to, level by
 // level. This bounds the work where routes seem to call each other in cycles and
-// the number of paths through them grows without bound.
-func (s serviceTotals) addRoute(all map[string]*mergedProfile, route string) {
+// the number of paths through them grows without bound. It reports whether all routes of
+// these calls have a profile.
+func (s serviceTotals) addRoute(all map[string]*mergedProfile, route string) bool {
+	complete := true
 	level := map[string]float64{route: 1}
 	for range maxDepth {
 		next := map[string]float64{}
 		for name, count := range level {
 			m := all[name]
 			if m == nil {
+				complete = false
 				continue
 			}
 			for service, nodes := range m.service {
@@ -352,8 +379,9 @@
 			}
 		}
 		if len(next) == 0 {
-			return
+			return complete
 		}
 		level = next
 	}
+	return complete
 }
--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -88,8 +88,10 @@
 
 	mu sync.Mutex
 	// local holds the inflows of this node, and peers those of the others by name.
-	local    map[routeClass]*inflow
-	peers    map[string]peerInflows
+	local map[routeClass]*inflow
+	peers map[string]peerInflows
+	// sent holds the inflows that this node sent last, which are as old as those of others.
+	sent     []*schema.Inflow
 	services map[string]*service
 	// limits holds the limits of groups of which not all requests are admitted.
 	limits map[routeClass]limit
@@ -159,9 +161,21 @@
 		}
 		list = append(list, &schema.Inflow{Route: k.route, Class: k.class, Offered: float32(f.offered), Admitted: float32(f.admitted)})
 	}
+	r.sent = list
 	return list
 }
 
+// Withdraw takes back the admission of a request that is refused for another reason. It
+// still counts as offered.
+func (r *Shedder) Withdraw(c *forwarder.Call, class schema.Class) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if f := r.local[routeClass{routeHash(c.Route.Name), class}]; f != nil {
+		f.decay(time.Now())
+		f.admitted = max(0, f.admitted-ratePerRequest)
+	}
+}
+
 // routeHash returns the hash that identifies a route in inflows.
 func routeHash(route string) uint32 { return uint32(xxhash.Sum64String(route) >> 32) }
 
