--- a/rationer/budget.go
+++ b/rationer/budget.go
@@ -33,8 +33,8 @@
 // supply is what the upstreams of a service bear.
 type supply struct {
 	cold, upstreams int
-	// rate is in requests per second.
-	rate float64
+	// rate is in requests per second, and warm the part of it that warm upstreams bear.
+	rate, warm float64
 	// remaining is the time until the first upstream is warm.
 	remaining time.Duration
 }
@@ -84,6 +84,8 @@
 			s.remaining = remaining
 		}
 		s.cold++
+	} else {
+		s.warm += rate
 	}
 	s.rate += rate
 }
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -61,8 +61,6 @@
 
 // CostSource provides the calls that a request of a route leads to.
 type CostSource interface {
-	// KnownRoutes returns the routes whose costs are known.
-	KnownRoutes() []string
 	// Counts returns the number of times that a request reaches each service, as far as
 	// it is known.
 	Counts(route string) map[string]float64
@@ -255,15 +253,16 @@
 	}
 	offers := r.Shedder.Offers()
 	for service, s := range supplies {
-		b := r.budgets[service]
+		b, part := r.budgets[service], r.part(offers[service], now)
 		if b == nil {
 			b = newBudget(service, now)
+			b.level = s.warm * part * maxFill.Seconds()
 			r.budgets[service] = b
 			r.Reporter.Notice("service_cold", "service", service, "cold", s.cold, "upstreams", s.upstreams, "bears", s.rate, "warm_in", s.remaining)
 		}
 		b.fill(now)
 		b.supply, b.offered = s, offers[service].Local
-		b.rate = s.rate * r.part(offers[service], now)
+		b.rate = s.rate * part
 	}
 }
 
