Spread refused callers over a longer time once upstreams are warm

Cause: callers who were refused while upstreams were cold came back within 0.75 s of the first warm one, three times the usual load, and the shedder refused some of them again.

--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -50,7 +50,7 @@
 	unknownCalls = 4
 	// retryJitter bounds the random time by which refused callers are told to come later than
 	// the first upstream is warm. minRetryAfter is the shortest delay.
-	retryJitter   = 750 * time.Millisecond
+	retryJitter   = 1250 * time.Millisecond
 	minRetryAfter = 250 * time.Millisecond
 )
 
