Evacuate failure domains

Nothing read the entry by which an operator empties a failure domain, so requests went on to its upstreams.

Package evacuator keeps the evacuations by domain, each as of a position in the platform's history, so that an earlier record never replaces a later one. Two nodes of each domain watch the platform (kind "evacuations"); all others learn of changes from beacons, also right after their start. Nodes select an evacuated domain by a weight that falls to zero in 0.4 of the bound, entries count its upstreams for as much, and from 0.6 of it the node beside an upstream refuses calls as not run, also those that have waited for a slot. A node that has just started uses its upstream only once it was told the evacuations, or nobody could for half the bound. The setting [bounds] evacuation is now 0s by default, which switches all of this off.

The schema gains the message Evacuation and Beacon.evacuations and informed.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -92,7 +92,9 @@
 	Source    Source
 	Directory Directory
 	Archive   Archive
-	Dialect   forwarder.Dialect
+	// Evacuations may be nil if failure domains are not evacuated.
+	Evacuations Evacuations
+	Dialect     forwarder.Dialect
 	// IsResponseTo reports whether a response of the upstream matches a request.
 	IsResponseTo func(*http.Request, *http.Response) bool
 	// RefusalStatus returns the HTTP status of a refusal.
--- a/attacher/config_watcher.go
+++ b/attacher/config_watcher.go
@@ -54,6 +54,8 @@
 	// configuration, in nanoseconds after started; zero if none has one.
 	behindSince atomic.Int64
 	started     time.Time
+	// onReset is called when the platform has lost its history or was away. It may be nil.
+	onReset func()
 }
 
 func newConfigWatcher(s Source, c *confirmer.Confirmer, r *reporter.Reporter, p *caller.Caller, name string, view func() *gossiper.View) *configWatcher {
@@ -109,6 +111,7 @@
 		case errors.Is(err, storer.ErrMissing) && known != storer.Absent:
 			w.reporter.Notice("history_lost", "version", string(known))
 			known = storer.Absent
+			w.reset()
 			if w.platformLost {
 				// The platform has answered, so the backoff of the outage is over.
 				backoff = minBackoff
@@ -122,6 +125,7 @@
 			// changes.
 			w.reporter.Notice("watch_silent", "version", string(known))
 			known = storer.Absent
+			w.reset()
 			continue
 		}
 		w.reportPlatformLost(ctx, err)
@@ -148,11 +152,17 @@
 	if w.watchFreshness() == Recent {
 		return checkWait + rand.N(maxWatchInterval)
 	}
-	view, watchers := w.view(), 0
+	return drawWait(w.view(), watchStartsPerSecond)
+}
+
+// drawWait returns a random wait for a watch of the latest data, with which all watchers
+// together start a number of them per second.
+func drawWait(view *gossiper.View, startsPerSecond int) time.Duration {
+	watchers := 0
 	for _, domain := range view.Domains() {
 		watchers += len(view.Watchers(domain))
 	}
-	mean := time.Duration(watchers) * time.Second / watchStartsPerSecond
+	mean := time.Duration(watchers) * time.Second / time.Duration(startsPerSecond)
 	return checkWait + rand.N(min(max(2*mean, minWatchInterval), maxWatchInterval))
 }
 
@@ -188,6 +198,13 @@
 	if w.platformLost {
 		w.platformLost = false
 		w.reporter.Notice("platform_regained", "version", w.confirmer.Version(), "store", string(known))
+		w.reset()
+	}
+}
+
+func (w *configWatcher) reset() {
+	if w.onReset != nil {
+		w.onReset()
 	}
 }
 
--- a/attacher/config_watcher_test.go
+++ b/attacher/config_watcher_test.go
@@ -135,6 +135,8 @@
 func (noopBeacons) Profiles() []*schema.Profile     { return nil }
 func (noopBeacons) Version() uint64                 { return 0 }
 
+func (noopBeacons) Evacuations(bool) ([]*schema.Evacuation, bool) { return nil, false }
+
 // viewOf returns a view of nodes in six failure domains. The first one is the only node of
 // its domain.
 func viewOf(nodes int) *gossiper.View {
--- a/attacher/module.go
+++ b/attacher/module.go
@@ -15,6 +15,7 @@
 	"quetzalhub/caller"
 	"quetzalhub/confirmer"
 	"quetzalhub/estimator"
+	"quetzalhub/evacuator"
 	"quetzalhub/fencer"
 	"quetzalhub/forwarder"
 	"quetzalhub/gossiper"
@@ -43,6 +44,7 @@
 		fencer.New,
 		witness.New,
 		quarantiner.New,
+		newEvacuator,
 		newConfirmer,
 		newCaller,
 		newSupervisor,
@@ -168,6 +170,7 @@
 	balancer      *balancer.Balancer
 	allocator     *allocator.Allocator
 	configWatcher *configWatcher
+	evacuations   *evacuationWatcher
 }
 
 // beaconSource provides the content of this node's beacons.
@@ -180,6 +183,12 @@
 	witness    *witness.Witness
 	// quarantiner provides the suspicions.
 	quarantiner *quarantiner.Quarantiner
+	evacuator   *evacuator.Evacuator
+}
+
+// Evacuations returns what this node knows of evacuations.
+func (s *beaconSource) Evacuations(all bool) ([]*schema.Evacuation, bool) {
+	return s.evacuator.Records(all), all && s.evacuator.Told()
 }
 
 func (s *beaconSource) Suspicions() []*schema.Suspicion { return s.quarantiner.Suspicions() }
@@ -188,15 +197,22 @@
 func (s *beaconSource) Inflows() []*schema.Inflow   { return s.shedder.Inflows() }
 func (s *beaconSource) Profiles() []*schema.Profile { return s.estimator.Profiles() }
 
-func (s *beaconSource) Endpoints() []*schema.Endpoint { return s.supervisor.Endpoints() }
-func (s *beaconSource) Usages() []*schema.Usage       { return s.allocator.Usages() }
-func (s *beaconSource) Version() uint64               { return s.confirmer.Version() }
+func (s *beaconSource) Usages() []*schema.Usage { return s.allocator.Usages() }
+func (s *beaconSource) Version() uint64         { return s.confirmer.Version() }
+
+// Endpoints returns the upstream if it accepts requests.
+func (s *beaconSource) Endpoints() []*schema.Endpoint {
+	if !s.evacuator.Accepts() {
+		return nil
+	}
+	return s.supervisor.Endpoints()
+}
 
 // lateDirectory gives parts that are created before the beaconer access to it. The
 // beaconer is set before these parts run.
 type lateDirectory struct{ *beaconer.Beaconer }
 
-func newFleet(s *schema.Settings, p *Platform, t *udp.Transport, st *supervisor.Supervisor, notifier *upstreamNotifier, c *confirmer.Confirmer, w *witness.Witness, q *quarantiner.Quarantiner, r *reporter.Reporter, cl *caller.Caller) *fleet {
+func newFleet(s *schema.Settings, p *Platform, t *udp.Transport, st *supervisor.Supervisor, notifier *upstreamNotifier, c *confirmer.Confirmer, w *witness.Witness, q *quarantiner.Quarantiner, r *reporter.Reporter, cl *caller.Caller, ev *evacuator.Evacuator) *fleet {
 	node := s.GetNode()
 	self := &schema.Member{
 		Name: node.GetName(), Address: node.GetPeers(), Admin: node.GetAdmin(), Beacon: node.GetBeacon(),
@@ -205,13 +221,16 @@
 	}
 	directory := &lateDirectory{}
 	f := &fleet{configWatcher: newConfigWatcher(p.Source, c, r, cl, node.GetName(), func() *gossiper.View { return directory.View() })}
-	f.balancer = balancer.New(directory, node.GetRegion(), balancer.ByCapacity(node.GetDomain()), balancer.WithMemory(w))
+	f.balancer = balancer.New(directory, node.GetRegion(), balancer.ByCapacity(node.GetDomain()), balancer.WithMemory(w), balancer.WithDomains(ev))
+	state := &evacuation{ev, st, r}
 	f.allocator = allocator.New(directory, c, cl, quotaAllowance(s), allocator.WithRetries(sharedRetries(s)))
 	f.estimator = estimator.New(s.GetUpstream().GetService())
-	f.shedder = shedder.New(directory, f.estimator)
-	f.beaconer = beaconer.New(self, t, &beaconSource{st, c, f.allocator, f.estimator, f.shedder, w, q}, beaconInterval, f.configWatcher,
-		&beaconListener{f.balancer, f.estimator, f.shedder, w, q, st, r})
+	f.shedder = shedder.New(directory, f.estimator, shedder.WithDomains(ev))
+	f.beaconer = beaconer.New(self, t, &beaconSource{st, c, f.allocator, f.estimator, f.shedder, w, q, ev}, beaconInterval, f.configWatcher,
+		&beaconListener{f.balancer, f.estimator, f.shedder, w, q, st, state, r})
 	directory.Beaconer = f.beaconer
+	f.evacuations = &evacuationWatcher{source: p.Evacuations, evacuation: state, view: f.beaconer.View, name: node.GetName(), announce: f.beaconer.Announce}
+	f.configWatcher.onReset = f.evacuations.reset
 	notifier.beaconer = f.beaconer
 	cl.Attach(&beaconFleet{f.beaconer})
 	return f
@@ -246,6 +265,7 @@
 	quarantiner *quarantiner.Quarantiner
 	// supervisor applies the remarks about the upstream beside this node.
 	supervisor *supervisor.Supervisor
+	evacuation *evacuation
 	reporter   *reporter.Reporter
 }
 
@@ -257,6 +277,7 @@
 		l.balancer.RecordLoad(from, e)
 	}
 	l.quarantiner.Store(b.GetSuspicions())
+	l.evacuation.store(from, b)
 	if len(b.GetRemarks()) > 0 {
 		l.witness.Store(b.GetRemarks())
 		l.supervisor.Refresh()
@@ -341,7 +362,7 @@
 	refuser *refuser.Refuser
 }
 
-func newTraffic(s *schema.Settings, p *Platform, f *fleet, c *confirmer.Confirmer, cl *caller.Caller, st *supervisor.Supervisor, fence *fencer.Fencer, q *quarantiner.Quarantiner, rec *recorder.Recorder, rep *reporter.Reporter) *traffic {
+func newTraffic(s *schema.Settings, p *Platform, f *fleet, c *confirmer.Confirmer, cl *caller.Caller, st *supervisor.Supervisor, fence *fencer.Fencer, q *quarantiner.Quarantiner, rec *recorder.Recorder, rep *reporter.Reporter, ev *evacuator.Evacuator) *traffic {
 	settings := s.GetTraffic()
 	maxBodyBytes := int64(settings.GetBody())
 	callerRefuser := refuser.New(rec.Refusals, refuser.WithStatus(p.RefusalStatus), refuser.WithFractionalRetryAfter())
@@ -363,7 +384,8 @@
 		Reporter:       rep,
 		SlotTime:       f.estimator.SlotTime,
 	})
-	upstreams := &closingUpstreams{Upstreams: st}
+	evacuated := &evacuatedUpstreams{st, ev}
+	upstreams := &closingUpstreams{Upstreams: evacuated}
 	lifetime := &forwarder.Lifetime{}
 	return &traffic{
 		upstreams: upstreams,
@@ -392,6 +414,7 @@
 		relay: forwarder.NewRelay(forwarder.RelayOptions{
 			Identity:         f.beaconer,
 			Upstreams:        upstreams,
+			Barred:           evacuated.barred,
 			Lifetime:         lifetime,
 			Fencer:           fence,
 			Tracker:          requestTracker,
--- a/attacher/node.go
+++ b/attacher/node.go
@@ -84,6 +84,7 @@
 	p.Recorder.Publish("upstream", func() any { return p.Supervisor.Endpoints() })
 	p.Recorder.Publish("shares", func() any { return p.Fleet.shedder.Shares() })
 	p.Recorder.Publish("requests_held", func() any { return len(p.Quarantiner.HeldSuspicions()) })
+	p.Recorder.Publish("evacuations", func() any { return p.Fleet.evacuations.evacuation.States() })
 	p.Recorder.Publish("log_lines_dropped", func() any { return p.Reporter.Dropped() })
 	p.Recorder.Publish("caller_connections", func() any { return n.connections.count() })
 	return n
@@ -103,7 +104,7 @@
 	settingsReloader := &reloader{p.Settings, p.Path, p.Reporter}
 	loops := []func(context.Context){
 		settingsReloader.run, n.connections.run,
-		p.Reporter.Run, p.Fleet.beaconer.Run, p.Fleet.balancer.Run, p.Fleet.shedder.Run, p.Fleet.configWatcher.run, p.Caller.Run, p.Supervisor.Run, entryRegistrar.run, holds.run,
+		p.Reporter.Run, p.Fleet.beaconer.Run, p.Fleet.balancer.Run, p.Fleet.shedder.Run, p.Fleet.configWatcher.run, p.Fleet.evacuations.run, p.Caller.Run, p.Supervisor.Run, entryRegistrar.run, holds.run,
 	}
 	for _, loop := range loops {
 		n.group.Go(func() { loop(ctx) })
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -7,7 +7,8 @@
 // are left. A node of another region counts as having twice the expected wait.
 //
 // With the option ByCapacity, nodes are instead selected at random by weights
-// that follow the spare capacity that they report. PickInTime then also avoids upstreams
+// that follow the spare capacity that they report. Failure domains that are evacuated lose their
+// weight gradually. PickInTime then also avoids upstreams
 // at which the call would probably not end in time.
 //
 // # Usage
@@ -23,6 +24,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -79,8 +81,9 @@
 	region    string
 	// domain is the failure domain of this node. If it is set, nodes are
 	// selected by spare capacity.
-	domain string
-	memory Memory
+	domain  string
+	memory  Memory
+	domains Domains
 	// stats holds a *nodeStats for each nodeID.
 	stats sync.Map
 }
@@ -93,6 +96,17 @@
 	Departed(id string, born int64) bool
 }
 
+// Domains states the share of its usual load that each failure domain gets. Nodes of a
+// domain with a share of zero are not selected.
+type Domains interface {
+	Weight(domain string) float64
+}
+
+// allDomains is a Domains in which no domain is evacuated.
+type allDomains struct{}
+
+func (allDomains) Weight(string) float64 { return 1 }
+
 // noMemory remembers nothing.
 type noMemory struct{}
 
@@ -131,7 +145,7 @@
 
 // New returns a balancer for a node of a region.
 func New(d Directory, region string, opts ...Option) *Balancer {
-	b := &Balancer{directory: d, region: region, memory: noMemory{}}
+	b := &Balancer{directory: d, region: region, memory: noMemory{}, domains: allDomains{}}
 	for _, opt := range opts {
 		opt(b)
 	}
@@ -153,6 +167,12 @@
 	return func(b *Balancer) { b.memory = m }
 }
 
+// WithDomains selects nodes of a failure domain less often, or not at all, by the share of
+// its usual load that it gets.
+func WithDomains(d Domains) Option {
+	return func(b *Balancer) { b.domains = d }
+}
+
 // Pick selects a node for a call to a service, excluding those already tried. It
 // returns false if no node is left.
 func (b *Balancer) Pick(service string, tried set.Set[string]) (*Target, bool) {
@@ -180,7 +200,7 @@
 	var best *schema.Member
 	highest := uint64(0)
 	for _, m := range b.directory.View().Service(service) {
-		if tried.Has(m.GetName()) || b.isAvoided(m) || b.hasDeparted(service, m) {
+		if tried.Has(m.GetName()) || b.isAvoided(m) || b.isClosed(service, m) {
 			continue
 		}
 		if hash := xxhash.Sum64String(strconv.FormatUint(key, 36) + m.GetName()); best == nil || hash > highest {
@@ -199,6 +219,9 @@
 // nodes of a service.
 func (b *Balancer) PickIndex(service string, index uint64) (*Target, bool) {
 	members := b.directory.View().Service(service)
+	if slices.ContainsFunc(members, b.isEvacuated) {
+		members = slices.DeleteFunc(slices.Clone(members), b.isEvacuated)
+	}
 	if len(members) == 0 {
 		return nil, false
 	}
@@ -216,13 +239,16 @@
 			return nil
 		}
 		m := members[rand.IntN(len(members))]
-		if !tried.Has(m.GetName()) && !b.isAvoided(m) && !b.hasDeparted(service, m) {
+		if tried.Has(m.GetName()) || b.isAvoided(m) || b.isClosed(service, m) {
+			continue
+		}
+		if weight := b.domains.Weight(m.GetDomain()); weight >= 1 || rand.Float64() < weight {
 			return m
 		}
 	}
 	var left *schema.Member
 	for _, m := range members {
-		if tried.Has(m.GetName()) || b.hasDeparted(service, m) {
+		if tried.Has(m.GetName()) || b.isClosed(service, m) {
 			continue
 		}
 		left = m
@@ -244,6 +270,14 @@
 	return false
 }
 
+// isEvacuated reports whether the failure domain of a node gets no calls.
+func (b *Balancer) isEvacuated(m *schema.Member) bool { return b.domains.Weight(m.GetDomain()) <= 0 }
+
+// isClosed reports whether a node must not be selected.
+func (b *Balancer) isClosed(service string, m *schema.Member) bool {
+	return b.hasDeparted(service, m) || b.isEvacuated(m)
+}
+
 func (b *Balancer) isAvoided(m *schema.Member) bool {
 	return time.Now().UnixNano() < b.statsOf(m).avoidUntil.Load()
 }
--- a/balancer/capacity.go
+++ b/balancer/capacity.go
@@ -153,7 +153,7 @@
 	latencySum, latencyCount := 0.0, 0.0
 	now := time.Now()
 	for _, m := range members {
-		if tried.Has(m.GetName()) || b.hasDeparted(service, m) {
+		if tried.Has(m.GetName()) || b.isClosed(service, m) {
 			continue
 		}
 		c := b.newCandidate(m, now)
@@ -174,13 +174,16 @@
 	if localLimit > 0 {
 		remoteWeight = min(max((localActive/localLimit-spilloverStart)/(spilloverEnd-spilloverStart), minSpillover), 1)
 	}
+	// The own failure domain loses its preference before its weight, and regains it last.
+	ownWeight := b.domains.Weight(b.domain)
+	remoteWeight = 1 - (1-remoteWeight)*ownWeight*ownWeight
 	meanLatency := defaultLatency.Seconds()
 	if latencyCount > 0 {
 		meanLatency = latencySum / latencyCount
 	}
 	for i := range list {
 		c := &list[i]
-		c.weight *= c.latencyFactor(meanLatency, need)
+		c.weight *= c.latencyFactor(meanLatency, need) * b.domains.Weight(c.target.Member.GetDomain())
 		if !c.local {
 			c.weight *= remoteWeight
 		}
--- a/beaconer/beaconer.go
+++ b/beaconer/beaconer.go
@@ -68,6 +68,10 @@
 	// Suspicions returns what this node knows of requests that ran in upstreams when
 	// they crashed.
 	Suspicions() []*schema.Suspicion
+	// Evacuations returns what this node knows of evacuated failure domains: all of it,
+	// with informed true if the platform or another node has told all evacuations, or only
+	// what has changed lately.
+	Evacuations(all bool) (records []*schema.Evacuation, informed bool)
 }
 
 // Listener is notified of beacons and of nodes that become silent.
--- a/beaconer/beaconer_test.go
+++ b/beaconer/beaconer_test.go
@@ -47,8 +47,10 @@
 	ready   atomic.Bool
 	cancel  context.CancelFunc
 	stopped chan struct{}
-	// remarks are sent in beacons.
-	remarks atomic.Pointer[[]*schema.Remark]
+	// remarks are sent in beacons, and evacuations in all of them while evacuating is true.
+	evacuations atomic.Pointer[[]*schema.Evacuation]
+	evacuating  atomic.Bool
+	remarks     atomic.Pointer[[]*schema.Remark]
 }
 
 func (n *node) Send(address string, datagram []byte) {
@@ -87,6 +89,13 @@
 	return nil
 }
 
+func (n *node) Evacuations(all bool) ([]*schema.Evacuation, bool) {
+	if r := n.evacuations.Load(); r != nil && (all || n.evacuating.Load()) {
+		return *r, all
+	}
+	return nil, false
+}
+
 func (n *node) Suspicions() []*schema.Suspicion { return nil }
 func (n *node) Inflows() []*schema.Inflow       { return nil }
 func (n *node) Usages() []*schema.Usage         { return n.net.usages }
--- a/beaconer/encode.go
+++ b/beaconer/encode.go
@@ -61,7 +61,9 @@
 	if b.number%inflowsEvery == 0 {
 		beacon.Inflows = b.source.Inflows()
 	}
-	if o.withRemarks || b.number%neighborsEvery == 0 {
+	complete := o.withRemarks || b.number%neighborsEvery == 0
+	beacon.Evacuations, beacon.Informed = b.source.Evacuations(complete)
+	if complete {
 		beacon.Remarks, beacon.Suspicions = b.source.Remarks(), b.source.Suspicions()
 	}
 	if b.number%neighborsEvery == 0 {
@@ -89,6 +91,7 @@
 var reductions = []func(*schema.Beacon){
 	func(m *schema.Beacon) {
 		m.Usages, m.Profiles, m.Inflows, m.Remarks, m.Suspicions, m.Neighbors = nil, nil, nil, nil, nil, nil
+		m.Evacuations, m.Informed = nil, false
 	},
 	func(m *schema.Beacon) {
 		if m.GetMember() != nil {
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -46,6 +46,9 @@
 type RelayOptions struct {
 	Identity  Identity
 	Upstreams Upstreams
+	// Barred returns the refusal code if the upstream may receive no call, as is checked
+	// again once a call has waited for its slot. It may be nil.
+	Barred    func() refuser.Code
 	Fencer    Fencer
 	Tracker   *tracker.Tracker
 	Refuser   *refuser.Refuser
@@ -121,6 +124,9 @@
 	if o.SlotTime == nil {
 		o.SlotTime = func(string, string) time.Duration { return 0 }
 	}
+	if o.Barred == nil {
+		o.Barred = func() refuser.Code { return refuser.None }
+	}
 	if o.OnCrash == nil {
 		o.OnCrash = func() {}
 	}
@@ -297,6 +303,9 @@
 	if timeLeft(rc.request.Deadline) == 0 {
 		return nil, refuser.DeadlineBeforeRun
 	}
+	if code := r.options.Barred(); code != refuser.None {
+		return nil, code
+	}
 	rc.offered = true
 	r.isolator.begin(rc, from)
 	resp, err := r.options.Transport.RoundTrip(r.upstreamRequest(ctx, from, rc))
--- a/shedder/chance.go
+++ b/shedder/chance.go
@@ -22,11 +22,12 @@
 
 // acceptance returns the share of the calls to a service that its upstreams do not
 // reject. Rejections come from upstreams that are not overloaded too.
-func acceptance(members []*schema.Member) float64 {
+func acceptance(members []*schema.Member, domains Domains) float64 {
 	total, accepted := 0.0, 0.0
 	for _, m := range members {
+		domainWeight := domains.Weight(m.GetDomain())
 		for _, e := range m.GetEndpoints() {
-			weight := float64(e.GetLimit()) * max(math.Pow(1-float64(e.GetFailing()), acceptanceExponent), minAcceptanceWeight)
+			weight := domainWeight * float64(e.GetLimit()) * max(math.Pow(1-float64(e.GetFailing()), acceptanceExponent), minAcceptanceWeight)
 			total += weight
 			accepted += weight * (1 - float64(e.GetRejecting()))
 		}
--- a/shedder/service.go
+++ b/shedder/service.go
@@ -73,7 +73,7 @@
 			s = &service{name: name, capacityFactor: 1}
 			r.services[name] = s
 		}
-		s.updateLoad(view.Service(name), demands)
+		s.updateLoad(view.Service(name), r.domains, demands)
 		if s.load > 1 {
 			list = append(list, s)
 		}
@@ -83,9 +83,9 @@
 }
 
 // updateLoad computes the budget of a service and the work offered to it.
-func (s *service) updateLoad(members []*schema.Member, demands []*demand) {
-	rate, utilization := capacity(members)
-	s.utilization, s.acceptance = utilization, acceptance(members)
+func (s *service) updateLoad(members []*schema.Member, domains Domains, demands []*demand) {
+	rate, utilization := capacity(members, domains)
+	s.utilization, s.acceptance = utilization, acceptance(members, domains)
 	if s.load > 1 {
 		step := correctionStep
 		if utilization < idleUtilization {
@@ -108,10 +108,12 @@
 
 // capacity returns the requests per second that the upstreams of a service can
 // serve, and the utilization of this rate. Free slots of a slow upstream count
-// little, so that they do not hide that fast upstreams are full.
-func capacity(members []*schema.Member) (rate, utilization float64) {
+// little, so that they do not hide that fast upstreams are full. An upstream counts for the
+// share of its usual load that its failure domain gets.
+func capacity(members []*schema.Member, domains Domains) (rate, utilization float64) {
 	usedRate := 0.0
 	for _, m := range members {
+		weight := domains.Weight(m.GetDomain())
 		for _, e := range m.GetEndpoints() {
 			latency := e.GetLatency().AsDuration()
 			if latency <= 0 {
@@ -121,8 +123,8 @@
 			if e.GetRate() > 0 {
 				endpointRate = min(endpointRate, e.GetRate())
 			}
-			usedRate += float64(e.GetBusy()) / latency.Seconds()
-			rate += endpointRate
+			usedRate += weight * float64(e.GetBusy()) / latency.Seconds()
+			rate += weight * endpointRate
 		}
 	}
 	if rate == 0 {
--- a/shedder/shedder.go
+++ b/shedder/shedder.go
@@ -68,6 +68,16 @@
 	Counts(route string) map[string]float64
 }
 
+// Domains states the share of its usual load that each failure domain gets.
+type Domains interface {
+	Weight(domain string) float64
+}
+
+// allDomains is a Domains in which no domain is evacuated.
+type allDomains struct{}
+
+func (allDomains) Weight(string) float64 { return 1 }
+
 // routeClass identifies a group of requests among which only the rank decides which
 // are admitted. The route is given by its routeHash.
 type routeClass struct {
@@ -83,8 +93,9 @@
 
 // Shedder admits requests as far as the services that they reach have capacity.
 type Shedder struct {
-	fleet Fleet
-	costs CostSource
+	fleet   Fleet
+	costs   CostSource
+	domains Domains
 
 	mu sync.Mutex
 	// local holds the inflows of this node, and peers those of the others by name.
@@ -120,13 +131,26 @@
 	return &refuser.Error{Code: refuser.ShedAtEntry, Detail: refuser.Detail{Note: note}}
 }
 
+// Option configures a shedder.
+type Option func(*Shedder)
+
+// WithDomains counts the upstreams of a failure domain for the share of its usual load that
+// it gets.
+func WithDomains(d Domains) Option {
+	return func(r *Shedder) { r.domains = d }
+}
+
 // New returns a shedder that admits all requests until it knows their rates and
 // costs.
-func New(f Fleet, c CostSource) *Shedder {
-	return &Shedder{
-		fleet: f, costs: c,
+func New(f Fleet, c CostSource, opts ...Option) *Shedder {
+	r := &Shedder{
+		fleet: f, costs: c, domains: allDomains{},
 		local: map[routeClass]*inflow{}, peers: map[string]peerInflows{}, services: map[string]*service{}, limits: map[routeClass]limit{},
 	}
+	for _, opt := range opts {
+		opt(r)
+	}
+	return r
 }
 
 // Run updates the limits periodically until the context ends.
