--- a/attacher/evacuation.go
+++ b/attacher/evacuation.go
@@ -47,8 +47,19 @@
 // evacuation is what this node does when evacuations change.
 type evacuation struct {
 	*evacuator.Evacuator
-	supervisor *supervisor.Supervisor
-	reporter   *reporter.Reporter
+	reporter *reporter.Reporter
+	// endpoints returns the local upstream if it is ready, and recheck is called when the
+	// failure domain of this node is taken back, since its upstream may be cold.
+	endpoints func() []*schema.Endpoint
+	recheck   func()
+}
+
+func newEvacuation(e *evacuator.Evacuator, s *supervisor.Supervisor, r *reporter.Reporter) *evacuation {
+	state := &evacuation{Evacuator: e, reporter: r, endpoints: s.Endpoints, recheck: func() {}}
+	if checked, ok := any(s).(rechecker); ok {
+		state.recheck = checked.Recheck
+	}
+	return state
 }
 
 func newEvacuator(s *schema.Settings) *evacuator.Evacuator {
@@ -68,8 +79,8 @@
 			event = "domain_returned"
 		}
 		e.reporter.Notice(event, "domain", c.Domain, "own", c.Domain == e.Domain(), "by", by)
-		if r, ok := any(e.supervisor).(rechecker); ok && c.Ended && c.Domain == e.Domain() {
-			r.Recheck()
+		if c.Ended && c.Domain == e.Domain() {
+			e.recheck()
 		}
 	}
 }
@@ -153,7 +164,7 @@
 
 // announceUpstream tells the other nodes of the upstream if it may be used now.
 func (e *evacuation) announceUpstream(announce func()) {
-	if e.Told() && e.Accepts() && len(e.supervisor.Endpoints()) > 0 {
+	if e.Told() && e.Accepts() && len(e.endpoints()) > 0 {
 		announce()
 	}
 }
@@ -192,10 +203,14 @@
 	changes, at, err := w.source.WatchEvacuations(watchCtx, w.at, w.nextWait())
 	switch {
 	case err == nil:
-		age := time.Duration(0)
-		if time.Since(began) < promptAnswer {
+		age, prompt := time.Duration(0), time.Since(began) < promptAnswer
+		if prompt {
 			age = w.contactAge()
 		}
+		if prompt && at == w.at {
+			// The platform does not wait.
+			defer sleep(ctx, minBackoff)
+		}
 		w.changed(w.evacuation.Apply(at, changes, age))
 		w.succeed(at)
 	case errors.Is(err, storer.ErrMissing) || watchCtx.Err() != nil:
--- a/attacher/module.go
+++ b/attacher/module.go
@@ -222,7 +222,7 @@
 	directory := &lateDirectory{}
 	f := &fleet{configWatcher: newConfigWatcher(p.Source, c, r, cl, node.GetName(), func() *gossiper.View { return directory.View() })}
 	f.balancer = balancer.New(directory, node.GetRegion(), balancer.ByCapacity(node.GetDomain()), balancer.WithMemory(w), balancer.WithDomains(ev))
-	state := &evacuation{ev, st, r}
+	state := newEvacuation(ev, st, r)
 	f.allocator = allocator.New(directory, c, cl, quotaAllowance(s), allocator.WithRetries(sharedRetries(s)))
 	f.estimator = estimator.New(s.GetUpstream().GetService())
 	f.shedder = shedder.New(directory, f.estimator, shedder.WithDomains(ev))
--- a/beaconer/beaconer_test.go
+++ b/beaconer/beaconer_test.go
@@ -198,6 +198,68 @@
 	})
 }
 
+// TestEvacuationsReachAll guards against nodes that learn late, or not at all, that a failure
+// domain is evacuated, also in a fleet that relays beacons and where datagrams are lost, and
+// against a node that has just started and doesn't.
+func TestEvacuationsReachAll(t *testing.T) {
+	for name, size := range map[string]int{"6 nodes": 6, "48 nodes": 48} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				nw := newNetwork()
+				defer nw.stopAll()
+				listeners := make([]*evacuationListener, size)
+				var nodes []*node
+				for i := range size {
+					var known []int
+					for k := range i {
+						known = append(known, k)
+					}
+					listeners[i] = &evacuationListener{}
+					nw.listeners = []beaconer.Listener{listeners[i]}
+					nodes = append(nodes, nw.start(i, known...))
+				}
+				time.Sleep(5 * time.Second)
+				nw.setLoss(0.1)
+				nodes[0].evacuations.Store(&[]*schema.Evacuation{{Domain: "hall", Revision: 7}})
+				nodes[0].evacuating.Store(true)
+				nodes[0].Announce()
+				time.Sleep(1500 * time.Millisecond)
+				for i, l := range listeners[1:] {
+					g.Expect(l.isTold()).To(BeTrue(), "node %d", i+1)
+				}
+				nodes[0].evacuating.Store(false)
+				nw.setLoss(0)
+				nw.stop(nodes[1])
+				listener := &evacuationListener{}
+				nw.listeners = []beaconer.Listener{listener}
+				nw.start(1, 0)
+				time.Sleep(100 * time.Millisecond)
+				g.Expect(listener.isTold()).To(BeTrue())
+				g.Expect(listener.isInformed()).To(BeTrue())
+			})
+		})
+	}
+}
+
+// evacuationListener records whether beacons told of an evacuation and of all of them.
+type evacuationListener struct {
+	remarkListener
+	told, informed atomic.Bool
+}
+
+func (l *evacuationListener) BeaconReceived(_ *schema.Member, b *schema.Beacon) {
+	if len(b.GetEvacuations()) > 0 {
+		l.told.Store(true)
+	}
+	if b.GetInformed() {
+		l.informed.Store(true)
+	}
+}
+
+func (l *evacuationListener) isTold() bool     { return l.told.Load() }
+func (l *evacuationListener) isInformed() bool { return l.informed.Load() }
+
 // remarkListener keeps the remarks in received beacons.
 type remarkListener struct {
 	mu      sync.Mutex
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -78,6 +79,8 @@
 	link *link
 	// draining nodes refuse calls.
 	draining bool
+	// The upstream of a barred node receives no calls.
+	barred atomic.Bool
 }
 
 func newMesh(t testing.TB) *mesh {
@@ -144,6 +147,14 @@
 	})
 }
 
+// isBarred returns a refusal code while the upstream of the node may receive no calls.
+func (n *node) isBarred() refuser.Code {
+	if n.barred.Load() {
+		return refuser.DomainEvacuated
+	}
+	return refuser.None
+}
+
 func (n *node) Identity() (string, uint64) { return n.name, 1 }
 
 func (n *node) UpstreamFor(service string) (forwarder.Upstream, refuser.Code) {
@@ -212,7 +223,7 @@
 	n.peers = httptest.NewServer(forwarder.NewRelay(forwarder.RelayOptions{
 		Identity: n, Upstreams: n, Fencer: n.fencer, Tracker: active,
 		Refuser: refuser.New(new(expvar.Map)), Transport: transporter.New(nil, transporter.Accept(forwarder.Native{}.MatchesRequest)), MaxBodyBytes: 1 << 20, Accountant: account,
-		Dialect: forwarder.Native{}, Reporter: reporter.Discard{},
+		Dialect: forwarder.Native{}, Reporter: reporter.Discard{}, Barred: n.isBarred,
 	}))
 	for _, s := range []*httptest.Server{n.local, n.upstream, n.callers, n.peers} {
 		m.t.Cleanup(s.Close)
--- a/shedder/load_test.go
+++ b/shedder/load_test.go
@@ -13,6 +13,7 @@
 
 	"quetzalhub/balancer"
 	"quetzalhub/estimator"
+	"quetzalhub/evacuator"
 	"quetzalhub/forwarder"
 	"quetzalhub/gossiper"
 	"quetzalhub/guard"
@@ -46,6 +47,13 @@
 	nodes    int
 	kinds    map[string]requestKind
 	services map[string][]upstream
+	// domains is the number of failure domains, over which the upstreams of each service
+	// are spread. Zero spreads all upstreams over three.
+	domains int
+	// evacuator knows the evacuations. It may be nil.
+	evacuator *evacuator.Evacuator
+	// unaware means that only the hosts of an evacuated domain know of it.
+	unaware bool
 }
 
 // upstream describes an upstream; a speed of 2 halves the service times.
@@ -92,12 +100,14 @@
 
 // simulation runs a service graph on the fake clock of synctest.
 type simulation struct {
-	graph       serviceGraph
-	rng         *rand.Rand
-	hosts       []*host
-	mu          sync.Mutex
-	view        *gossiper.View
-	tally       map[string]*tally
+	graph serviceGraph
+	rng   *rand.Rand
+	hosts []*host
+	mu    sync.Mutex
+	view  *gossiper.View
+	tally map[string]*tally
+	// runs counts the calls that upstreams ran by failure domain.
+	runs        map[string]int
 	loadFactor  float64
 	end         time.Time
 	group       sync.WaitGroup
@@ -113,12 +123,20 @@
 	}
 	i := 0
 	for service, list := range graph.services {
-		for _, u := range list {
+		for j, u := range list {
 			h := &host{service: service, speed: u.speed, estimator: estimator.New(service)}
 			h.guard = guard.New(guard.InitialLimit(max(1, u.slots*95/100)), guard.FixedLimit(), guard.QueueBelowLevel())
 			h.member = &schema.Member{Name: fmt.Sprint("node-", i), Domain: fmt.Sprint("d", i%3), Status: schema.Status_STATUS_ALIVE, Incarnation: 1}
-			h.balancer = balancer.New(sim, "", balancer.ByCapacity(h.member.Domain))
-			h.shedder = shedder.New(sim, h.estimator)
+			if graph.domains > 0 {
+				h.member.Domain = fmt.Sprint("d", j%graph.domains)
+			}
+			balancerOptions, shedderOptions := []balancer.Option{balancer.ByCapacity(h.member.Domain)}, []shedder.Option{}
+			if graph.evacuator != nil && !graph.unaware {
+				balancerOptions = append(balancerOptions, balancer.WithDomains(graph.evacuator))
+				shedderOptions = append(shedderOptions, shedder.WithDomains(graph.evacuator))
+			}
+			h.balancer = balancer.New(sim, "", balancerOptions...)
+			h.shedder = shedder.New(sim, h.estimator, shedderOptions...)
 			sim.hosts = append(sim.hosts, h)
 			i++
 		}
@@ -161,6 +179,20 @@
 	}
 }
 
+func (sim *simulation) isEvacuated(h *host) bool {
+	return sim.graph.evacuator != nil && sim.graph.evacuator.Evacuated(h.member.Domain)
+}
+
+// count counts a call that an upstream runs.
+func (sim *simulation) count(h *host) {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	if sim.runs == nil {
+		sim.runs = map[string]int{}
+	}
+	sim.runs[h.member.Domain]++
+}
+
 func (sim *simulation) hostByName(name string) *host {
 	for _, h := range sim.hosts {
 		if h.member.Name == name {
@@ -181,11 +213,21 @@
 		}
 		tried.Add(target.Member.GetName())
 		h := sim.hostByName(target.Member.GetName())
+		if sim.isEvacuated(h) {
+			target.Done(balancer.Refused, 0)
+			continue
+		}
 		permit, err := h.guard.Acquire(ctx, guard.Request{Class: class, Rank: rank, Objective: k.objective})
 		if err != nil {
 			target.Done(balancer.Refused, 0)
 			continue
 		}
+		if sim.isEvacuated(h) {
+			permit.Release()
+			target.Done(balancer.Refused, 0)
+			continue
+		}
+		sim.count(h)
 		started := time.Now()
 		ok = sim.serve(ctx, h, route, class, rank)
 		permit.Release()
