--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -121,7 +121,9 @@
 	Directory Directory
 	Archive   Archive
 	Costs     CostArchive
-	Dialect   forwarder.Dialect
+	// Evacuations may be nil if failure domains are not evacuated.
+	Evacuations Evacuations
+	Dialect     forwarder.Dialect
 	// IsResponseTo reports whether a response of the upstream matches a request.
 	IsResponseTo func(*http.Request, *http.Response) bool
 	// RefusalStatus returns the HTTP status of a refusal.
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -47,6 +47,9 @@
 type RelayOptions struct {
 	Identity  Identity
 	Upstreams Upstreams
+	// Barred returns the refusal code if the upstream may receive no call, as is checked
+	// again once a call has waited for its slot. It may be nil.
+	Barred    func() refuser.Code
 	Fencer    Fencer
 	Tracker   *tracker.Tracker
 	Refuser   *refuser.Refuser
@@ -129,6 +132,9 @@
 	if o.SlotTime == nil {
 		o.SlotTime = func(string, string) time.Duration { return 0 }
 	}
+	if o.Barred == nil {
+		o.Barred = func() refuser.Code { return refuser.None }
+	}
 	if o.OnCrash == nil {
 		o.OnCrash = func() {}
 	}
@@ -310,6 +316,9 @@
 	if r.excludes(rc, from) {
 		return nil, refuser.RegionMissing
 	}
+	if code := r.options.Barred(); code != refuser.None {
+		return nil, code
+	}
 	rc.offered = true
 	r.isolator.begin(rc, from)
 	sent := time.Now()
