Take no answer without a valid status

An upstream in trouble may answer with a status such as 000. One below 100 was skipped like an informational answer: what came next on the connection, even the body of the odd answer, was taken for the answer and reached the caller as a success; without anything, the request lasted until its deadline. It was the same with 101. Statuses from 600 on were passed on, also with an idempotency key. A stored answer with a status below 100 or above 999, or none, closed the connection of the caller without an answer.

A status outside 100 to 599, or 101, now ends the exchange: the caller gets 3003 (502) with none of the upstream's fields, at once, and the connection is closed. 600 and above count so too, since RFC 9110 (section 15) lets no answer have them. A stored answer without a valid status is 3005. While a peer is asked for a body, a head that isn't one ends the exchange as well.

--- a/forwarder/idempotency.go
+++ b/forwarder/idempotency.go
@@ -18,6 +18,9 @@
 // headerKey is the header with the idempotency key of a request.
 const headerKey = "Idempotency-Key"
 
+// maxStatus is the highest status of a response.
+const maxStatus = 599
+
 // maxKeyBytes is the maximum length of an idempotency key.
 const maxKeyBytes = 256
 
@@ -51,6 +54,9 @@
 	case schema.Standing_STANDING_GRANTED:
 		return e.dispatchAndSettle(ctx, call, key)
 	case schema.Standing_STANDING_ANSWERED:
+		if status := resp.GetAnswer().GetStatus(); status < http.StatusOK || status > maxStatus {
+			return nil, &refuser.Error{Code: refuser.ResendUnknown}
+		}
 		return &entryResponse{fromStored(resp.GetAnswer()), func() {}}, nil
 	case schema.Standing_STANDING_PENDING:
 		return nil, &refuser.Error{Code: refuser.ResendPending}
--- a/forwarder/resend_test.go
+++ b/forwarder/resend_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"quetzalhub/schema"
 )
 
 // postOrder sends a request with an idempotency key to a node.
@@ -76,3 +78,44 @@
 	g.Expect(again.body).To(Equal(first.body))
 	g.Expect(runs.count("order")).To(Equal(1))
 }
+
+// TestOddStatusWithKey guards against an answer without a valid status that is stored under an
+// idempotency key and sent to the caller, or that closes the caller's connection.
+func TestOddStatusWithKey(t *testing.T) {
+	for _, status := range []string{"000", "099", "101", "20", "600", "999", "1000"} {
+		t.Run("of the upstream: "+status, func(t *testing.T) {
+			g := NewWithT(t)
+			m := newMesh(t)
+			m.addRoute("orders", false)
+			m.addNode("orders", func(string) http.Handler {
+				return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+					conn, _, err := w.(http.Hijacker).Hijack()
+					if err != nil {
+						panic(err)
+					}
+					t.Cleanup(func() { _ = conn.Close() })
+					_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s Odd\r\nContent-Length: 38\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", status)
+				})
+			})
+			m.join()
+			first := postOrder(m.nodes[0], "1", "key-1", "pair of gloves")
+			g.Expect(first.status).To(Equal(http.StatusBadGateway), first.body)
+			g.Expect(first.body).To(ContainSubstring(`"code":3003`))
+			again := postOrder(m.nodes[0], "1", "key-1", "pair of gloves")
+			g.Expect(again.status).To(Equal(http.StatusBadGateway), again.body)
+			g.Expect(again.body).To(ContainSubstring(`"code":3005`))
+		})
+	}
+	for name, answer := range map[string]*schema.StoredAnswer{"none": nil, "0": {}, "99": {Status: 99}, "101": {Status: 101}, "600": {Status: 600}, "1000": {Status: 1000}} {
+		t.Run("stored: "+name, func(t *testing.T) {
+			g := NewWithT(t)
+			m := newMesh(t)
+			m.addRoute("orders", false)
+			m.addNode("orders", echo(newRunCounter()))
+			m.join()
+			m.claims["key-1"] = &schema.ClaimResponse{Standing: schema.Standing_STANDING_ANSWERED, Answer: answer}
+			again := postOrder(m.nodes[0], "1", "key-1", "pair of gloves")
+			g.Expect(again.body).To(ContainSubstring(`"code":3005`))
+		})
+	}
+}
--- a/transporter/continue.go
+++ b/transporter/continue.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"time"
 )
 
@@ -22,6 +23,9 @@
 	if b.asked {
 		c.limitUnacked(c.owner.userTimeout)
 	}
+	if b.err != nil {
+		return nil, b.err
+	}
 	if b.response == nil {
 		return c.readFinal(req, writeErr)
 	}
@@ -50,6 +54,9 @@
 	asked      bool
 	// response is the response of a peer that did not ask for the body.
 	response *http.Response
+	// err is set if what came while the peer was awaited is no valid response. Nothing after it
+	// on the connection is one.
+	err error
 }
 
 // Read waits for the peer and then reads from the body.
@@ -59,6 +66,9 @@
 	}
 	if !b.asked {
 		if err := b.await(); err != nil {
+			if b.response == nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+				b.err = err
+			}
 			return 0, err
 		}
 	}
