Check for an upstream in the regions without a list

Balancer.Covers built the list of all nodes in the regions for each bound request only to see whether it is empty.

Result: tests of balancer pass, also with the race detector.

--- a/balancer/regions.go
+++ b/balancer/regions.go
@@ -1,6 +1,10 @@
 package balancer
 
-import "quetzalhub/schema"
+import (
+	"slices"
+
+	"quetzalhub/schema"
+)
 
 // members returns the nodes of a service in the regions where a call may run.
 func (b *Balancer) members(service string, need Need) []*schema.Member {
@@ -19,5 +23,7 @@
 
 // Covers reports whether any upstream of a service is in a region where a call may run.
 func (b *Balancer) Covers(service string, need Need) bool {
-	return len(b.members(service, need)) > 0
+	return slices.ContainsFunc(b.directory.View().Service(service), func(m *schema.Member) bool {
+		return need.Regions.Allow(m.GetRegion())
+	})
 }
