Look for a shorter prefix when the longest one excludes a path

The prefixes of routes with a host end with a slash.

The check is now part of the match, so that the search goes on.

TestRoutesBelowPrefix: 3 of 10 cases failed before, all pass.

--- a/resolver/resolver.go
+++ b/resolver/resolver.go
@@ -273,25 +273,28 @@
 // host, or if there is none, among the routes that apply to all hosts.
 func (s *Snapshot) Route(host, method, path string) (*Route, bool) {
 	if routes := s.routes[host]; routes != nil {
-		if r, ok := longestMatch(routes, method, path); ok && r.matchesBelowPrefix(path) {
+		if r, ok := longestMatch(routes, method, path); ok {
 			return r, true
 		}
 	}
 	return longestMatch(s.routes[""], method, path)
 }
 
-// matchesBelowPrefix reports whether a path continues after the prefix of a route
-// with a host. Such prefixes end with a slash, which cleanPrefix removes, so a
-// path equal to the cleaned prefix does not match.
-func (r *Route) matchesBelowPrefix(path string) bool {
-	return r.Prefix == "/" || len(path) > len(r.Prefix)
+// accepts reports whether a route with a matching prefix serves a request. The prefixes of
+// routes with a host end with a slash, which cleanPrefix removes, so a path equal to the
+// cleaned prefix does not match them.
+func (r *Route) accepts(method, path string) bool {
+	if r.Host != "" && r.Prefix != "/" && len(path) <= len(r.Prefix) {
+		return false
+	}
+	return len(r.Methods) == 0 || slices.Contains(r.Methods, method)
 }
 
 func longestMatch(routes map[string][]*Route, method, path string) (*Route, bool) {
 	prefix := cleanPrefix(path)
 	for {
 		for _, r := range routes[prefix] {
-			if len(r.Methods) == 0 || slices.Contains(r.Methods, method) {
+			if r.accepts(method, path) {
 				return r, true
 			}
 		}
--- a/resolver/resolver_test.go
+++ b/resolver/resolver_test.go
@@ -66,6 +66,42 @@
 	}
 }
 
+// TestRoutesBelowPrefix guards against a route of a host that hides the one with a shorter
+// prefix for a path that equals its own prefix without the slash, which it does not serve.
+func TestRoutesBelowPrefix(t *testing.T) {
+	raw, err := proto.Marshal(&schema.State{Version: 1, Config: &schema.Config{Routes: []*schema.Route{
+		{Host: "puka.example", Prefix: "/puka/", Service: "short"},
+		{Host: "puka.example", Prefix: "/puka/nuevo/", Service: "long"},
+		{Host: "puka.example", Prefix: "/puka/nuevo/hoy/", Methods: []string{"POST"}, Service: "longest"},
+		{Host: "root.example", Prefix: "/", Service: "root"},
+		{Host: "root.example", Prefix: "/puka/", Service: "short"},
+		{Prefix: "/puka", Service: "any"},
+	}}})
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	s, err := resolver.Compile(raw)
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	cases := map[string]struct{ host, method, path, service string }{
+		"below the long prefix":              {"puka.example", "GET", "/puka/nuevo/1", "long"},
+		"the long prefix":                    {"puka.example", "GET", "/puka/nuevo/", "long"},
+		"the long prefix without its slash":  {"puka.example", "GET", "/puka/nuevo", "short"},
+		"two prefixes without their slash":   {"puka.example", "POST", "/puka/nuevo/hoy", "long"},
+		"method of the longest prefix":       {"puka.example", "POST", "/puka/nuevo/hoy/1", "longest"},
+		"partial element":                    {"puka.example", "GET", "/puka/nuevos", "short"},
+		"the short prefix without its slash": {"puka.example", "GET", "/puka", "any"},
+		"no host":                            {"", "GET", "/puka/nuevo", "any"},
+		"root of the host":                   {"root.example", "GET", "/puka", "root"},
+		"root":                               {"root.example", "GET", "/", "root"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			r, ok := s.Route(c.host, c.method, c.path)
+			g.Expect(ok).To(BeTrue())
+			g.Expect(r.Service).To(Equal(c.service))
+		})
+	}
+}
+
 // TestKeys looks up valid, withdrawn and unknown keys. A withdrawn key must be
 // found, so that it can be told from an unknown one.
 func TestKeys(t *testing.T) {
