Hand over the watch of a node that does not reach the platform

A watcher counted as one as long as its beacons arrived, also while it could not reach the platform: nobody took its place, and all other nodes learned of a version from recent data, 3 s after the acknowledgement.

A node now states in its record that it is blind. Watchers of a failure domain are its first nodes that are not; one that becomes a watcher ends its watch of recent data, which took up to 25 s more before.

--- a/attacher/config_watcher.go
+++ b/attacher/config_watcher.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"quetzalhub/caller"
 	"quetzalhub/confirmer"
 	"quetzalhub/gossiper"
 	"quetzalhub/reporter"
@@ -41,14 +40,19 @@
 	peerFetchDelay = 80 * time.Millisecond
 )
 
+// peers tells other nodes of a new configuration and fetches it from them.
+type peers interface {
+	NotifyPeers()
+	Fetch(address string)
+}
+
 // configWatcher keeps the node's configuration up to date.
 type configWatcher struct {
 	source       Source
 	confirmer    *confirmer.Confirmer
 	reporter     *reporter.Reporter
-	caller       *caller.Caller
+	peers        peers
 	view         func() *gossiper.View
-	name         string
 	platformLost bool
 	// behindSince is when another node was first seen with a newer
 	// configuration, in nanoseconds after started; zero if none has one.
@@ -56,10 +60,12 @@
 	started     time.Time
 	// onReset is called when the platform has lost its history or was away. It may be nil.
 	onReset func()
+	role    *role
 }
 
-func newConfigWatcher(s Source, c *confirmer.Confirmer, r *reporter.Reporter, p *caller.Caller, name string, view func() *gossiper.View) *configWatcher {
-	w := &configWatcher{source: s, confirmer: c, reporter: r, caller: p, name: name, view: view, started: time.Now()}
+func newConfigWatcher(s Source, c *confirmer.Confirmer, r *reporter.Reporter, p peers, name string, view func() *gossiper.View) *configWatcher {
+	w := &configWatcher{source: s, confirmer: c, reporter: r, peers: p, view: view, started: time.Now()}
+	w.role = newRole(name, view, r)
 	c.OnChange(w.onConfigChange)
 	return w
 }
@@ -81,6 +87,7 @@
 	failed := false
 	// A watch that follows the first read delivers what that may lack.
 	freshness := Recent
+	defer w.role.start(ctx)()
 	for ctx.Err() == nil {
 		var object storer.Object
 		var err error
@@ -90,13 +97,19 @@
 		case failed:
 			object, err = w.source.Watch(ctx, known, checkWait, Latest)
 		default:
-			object, err = w.source.Watch(ctx, known, w.nextWatchWait(), w.watchFreshness())
+			object, err = w.watch(ctx, known)
+		}
+		if errors.Is(err, errRoleGained) {
+			continue
 		}
 		failed = err != nil && !errors.Is(err, storer.ErrUnchanged)
+		if ctx.Err() == nil {
+			w.role.setBlind(failed && !errors.Is(err, storer.ErrMissing))
+		}
 		switch {
 		case err == nil:
 			if w.apply(object.Data) && known == storer.Absent {
-				w.caller.NotifyPeers()
+				w.peers.NotifyPeers()
 			}
 			if known != storer.Absent {
 				backoff = minBackoff
@@ -134,12 +147,33 @@
 	}
 }
 
+// watch waits for a change. A watch of recent data ends with errRoleGained when this node
+// becomes a watcher.
+func (w *configWatcher) watch(ctx context.Context, known storer.Version) (storer.Object, error) {
+	freshness := w.watchFreshness()
+	if freshness == Latest {
+		wait := w.nextWatchWait(freshness)
+		if w.role.takeCheck() {
+			wait = checkWait
+		}
+		return w.source.Watch(ctx, known, wait, freshness)
+	}
+	watchCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	w.role.setCancel(cancel)
+	defer w.role.setCancel(nil)
+	object, err := w.source.Watch(watchCtx, known, w.nextWatchWait(freshness), freshness)
+	if err != nil && errors.Is(context.Cause(watchCtx), errRoleGained) {
+		return storer.Object{}, errRoleGained
+	}
+	return object, err
+}
+
 // watchFreshness returns the freshness of this node's next watch. A few nodes of each failure
 // domain watch the latest data, and the others learn of a change from them at the latest. A
 // node that reaches only a part of the fleet may not.
 func (w *configWatcher) watchFreshness() Freshness {
-	view := w.view()
-	if _, watcher := view.WatcherIndex(w.name); watcher || view.Reach() < minReach {
+	if w.role.watches() {
 		return Latest
 	}
 	return Recent
@@ -148,8 +182,8 @@
 // nextWatchWait returns a random wait for the next watch. A start of the fleet, a change or
 // an outage ends the watches of all nodes together, so the waits are drawn from the whole
 // interval: if they all had about its length, no node would start a watch for most of it.
-func (w *configWatcher) nextWatchWait() time.Duration {
-	if w.watchFreshness() == Recent {
+func (w *configWatcher) nextWatchWait(f Freshness) time.Duration {
+	if f == Recent {
 		return checkWait + rand.N(maxWatchInterval)
 	}
 	return drawWait(w.view(), watchStartsPerSecond)
@@ -218,7 +252,7 @@
 	now := int64(time.Since(w.started))
 	w.behindSince.CompareAndSwap(0, now)
 	if version == 0 || now-w.behindSince.Load() > int64(peerFetchDelay) {
-		w.caller.Fetch(from.GetAddress())
+		w.peers.Fetch(from.GetAddress())
 	}
 }
 
--- a/attacher/config_watcher_test.go
+++ b/attacher/config_watcher_test.go
@@ -134,6 +134,7 @@
 func (noopBeacons) Usages() []*schema.Usage         { return nil }
 func (noopBeacons) Profiles() []*schema.Profile     { return nil }
 func (noopBeacons) Version() uint64                 { return 0 }
+func (noopBeacons) Blind() bool                     { return false }
 
 func (noopBeacons) Evacuations(bool) ([]*schema.Evacuation, bool) { return nil, false }
 
@@ -160,7 +161,7 @@
 	full := viewOf(196)
 	latest := 0
 	for i := range 196 {
-		w := &configWatcher{name: fmt.Sprint("node-", i+1), view: func() *gossiper.View { return full }}
+		w := &configWatcher{role: newRole(fmt.Sprint("node-", i+1), func() *gossiper.View { return full }, nil)}
 		if w.watchFreshness() == Latest {
 			latest++
 		}
@@ -174,7 +175,7 @@
 			alone[name] = failed
 		}
 	}
-	w := &configWatcher{name: "node-77", view: func() *gossiper.View { return gossiper.NewView(alone) }}
+	w := &configWatcher{role: newRole("node-77", func() *gossiper.View { return gossiper.NewView(alone) }, nil)}
 	g.Expect(w.watchFreshness()).To(Equal(Latest))
 }
 
--- a/attacher/evacuation.go
+++ b/attacher/evacuation.go
@@ -109,7 +109,8 @@
 	source     Evacuations
 	evacuation *evacuation
 	view       func() *gossiper.View
-	name       string
+	// watches reports whether this node watches the latest data.
+	watches func() bool
 	// announce sends what this node knows to all others.
 	announce func()
 
@@ -163,11 +164,7 @@
 
 // isWatcher reports whether this node watches the platform: a few nodes of each failure
 // domain do, and those that reach only a part of the fleet.
-func (w *evacuationWatcher) isWatcher() bool {
-	view := w.view()
-	_, watcher := view.WatcherIndex(w.name)
-	return watcher || view.Reach() < minReach
-}
+func (w *evacuationWatcher) isWatcher() bool { return w.watches() }
 
 // list reads the evacuations, with retries.
 func (w *evacuationWatcher) list(ctx context.Context, f Freshness) {
--- a/attacher/module.go
+++ b/attacher/module.go
@@ -203,8 +203,12 @@
 	// quarantiner provides the suspicions.
 	quarantiner *quarantiner.Quarantiner
 	evacuator   *evacuator.Evacuator
+	role        *role
 }
 
+// Blind reports whether the calls of this node to the platform fail.
+func (s *beaconSource) Blind() bool { return s.role.isBlind() }
+
 // Evacuations returns what this node knows of evacuations.
 func (s *beaconSource) Evacuations(all bool) ([]*schema.Evacuation, bool) {
 	return s.evacuator.Records(all), all && s.evacuator.Told()
@@ -245,11 +249,11 @@
 	f.allocator = allocator.New(directory, c, cl, quotaAllowance(s), allocator.WithRetries(sharedRetries(s)))
 	f.estimator = estimator.New(s.GetUpstream().GetService())
 	f.shedder = shedder.New(directory, f.estimator, shedder.WithDomains(ev))
-	f.beaconer = beaconer.New(self, t, &beaconSource{st, c, f.allocator, f.estimator, f.shedder, w, q, ev}, beaconInterval, f.configWatcher,
+	f.beaconer = beaconer.New(self, t, &beaconSource{st, c, f.allocator, f.estimator, f.shedder, w, q, ev, f.configWatcher.role}, beaconInterval, f.configWatcher,
 		&beaconListener{f.balancer, f.estimator, f.shedder, w, q, st, state, r})
 	directory.Beaconer = f.beaconer
-	f.evacuations = &evacuationWatcher{source: p.Evacuations, evacuation: state, view: f.beaconer.View, name: node.GetName(), announce: f.beaconer.Announce}
-	f.configWatcher.onReset = f.evacuations.reset
+	f.evacuations = &evacuationWatcher{source: p.Evacuations, evacuation: state, view: f.beaconer.View, watches: f.configWatcher.role.watches, announce: f.beaconer.Announce}
+	f.configWatcher.onReset, f.configWatcher.role.announce = f.evacuations.reset, f.beaconer.Announce
 	notifier.beaconer = f.beaconer
 	cl.Attach(&beaconFleet{f.beaconer})
 	return f
--- a/beaconer/beaconer.go
+++ b/beaconer/beaconer.go
@@ -72,6 +72,8 @@
 	// with informed true if the platform or another node has told all evacuations, or only
 	// what has changed lately.
 	Evacuations(all bool) (records []*schema.Evacuation, informed bool)
+	// Blind reports whether this node does not reach the platform.
+	Blind() bool
 }
 
 // Listener is notified of beacons and of nodes that become silent.
--- a/beaconer/beaconer_test.go
+++ b/beaconer/beaconer_test.go
@@ -51,6 +51,7 @@
 	evacuations atomic.Pointer[[]*schema.Evacuation]
 	evacuating  atomic.Bool
 	remarks     atomic.Pointer[[]*schema.Remark]
+	blind       atomic.Bool
 }
 
 func (n *node) Send(address string, datagram []byte) {
@@ -89,6 +90,8 @@
 	return nil
 }
 
+func (n *node) Blind() bool { return n.blind.Load() }
+
 func (n *node) Evacuations(all bool) ([]*schema.Evacuation, bool) {
 	if r := n.evacuations.Load(); r != nil && (all || n.evacuating.Load()) {
 		return *r, all
--- a/beaconer/encode.go
+++ b/beaconer/encode.go
@@ -33,6 +33,7 @@
 	m := proto.CloneOf(b.self)
 	m.Endpoints = b.source.Endpoints()
 	m.Relaying = b.relay.serves()
+	m.Blind = b.source.Blind()
 	if b.leaving.Load() {
 		m.Status = schema.Status_STATUS_LEFT
 	}
--- a/beaconer/table.go
+++ b/beaconer/table.go
@@ -74,7 +74,7 @@
 
 // isChanged reports whether a record differs from the previous one in more than its load.
 func isChanged(previous, m *schema.Member) bool {
-	return previous.GetStatus() != m.GetStatus() || !slices.EqualFunc(previous.GetEndpoints(), m.GetEndpoints(), func(a, b *schema.Endpoint) bool {
+	return previous.GetStatus() != m.GetStatus() || previous.GetBlind() != m.GetBlind() || !slices.EqualFunc(previous.GetEndpoints(), m.GetEndpoints(), func(a, b *schema.Endpoint) bool {
 		return a.GetService() == b.GetService() && a.GetPhase() == b.GetPhase() &&
 			a.GetInstance().GetId() == b.GetInstance().GetId() && a.GetInstance().GetBorn() == b.GetInstance().GetBorn()
 	})
--- a/gossiper/view.go
+++ b/gossiper/view.go
@@ -38,6 +38,7 @@
 	// ranked holds the live nodes of each failure domain in the order of the
 	// tree along which confirmations propagate.
 	ranked   map[string][]*schema.Member
+	watchers map[string][]*schema.Member
 	services map[string][]*schema.Member
 }
 
@@ -46,6 +47,7 @@
 	v := &View{
 		Members:  members,
 		ranked:   map[string][]*schema.Member{},
+		watchers: map[string][]*schema.Member{},
 		services: map[string][]*schema.Member{},
 	}
 	for _, m := range members {
@@ -63,10 +65,11 @@
 			}
 		}
 	}
-	for _, list := range v.ranked {
+	for domain, list := range v.ranked {
 		slices.SortFunc(list, func(a, b *schema.Member) int {
 			return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a.GetName(), b.GetName()))
 		})
+		v.watchers[domain] = pickWatchers(list)
 	}
 	for _, list := range v.services {
 		slices.SortFunc(list, func(a, b *schema.Member) int { return cmp.Compare(a.GetName(), b.GetName()) })
@@ -74,6 +77,17 @@
 	return v
 }
 
+// pickWatchers returns the watchers among the ranked nodes of a failure domain: the first
+// ones that are not blind. Their number grows with that of the blind ones, since the next in
+// the order may be blind as well without knowing it yet.
+func pickWatchers(list []*schema.Member) []*schema.Member {
+	sighted := slices.DeleteFunc(slices.Clone(list), (*schema.Member).GetBlind)
+	if len(sighted) == 0 {
+		return list[:min(len(list), watchersPerDomain)]
+	}
+	return sighted[:min(len(sighted), max(watchersPerDomain, len(list)-len(sighted)))]
+}
+
 func rank(m *schema.Member) uint64 { return xxhash.Sum64String(m.GetName()) }
 
 func memberDigest(m *schema.Member) uint64 {
@@ -126,9 +140,25 @@
 }
 
 // Watchers returns the nodes of a failure domain that watch the platform.
-func (v *View) Watchers(domain string) []*schema.Member {
-	list := v.ranked[domain]
-	return list[:min(len(list), watchersPerDomain)]
+func (v *View) Watchers(domain string) []*schema.Member { return v.watchers[domain] }
+
+// IsPreferredWatcher reports whether a node watches the platform while no node of its
+// failure domain is blind.
+func (v *View) IsPreferredWatcher(name string) bool {
+	list := v.ranked[v.Members[name].GetDomain()]
+	return slices.ContainsFunc(list[:min(len(list), watchersPerDomain)], func(m *schema.Member) bool { return m.GetName() == name })
+}
+
+// BlindCount returns the number of live nodes of a failure domain that don't reach the
+// platform.
+func (v *View) BlindCount(domain string) int {
+	n := 0
+	for _, m := range v.ranked[domain] {
+		if m.GetBlind() {
+			n++
+		}
+	}
+	return n
 }
 
 // WatcherIndex returns the position of a node among the watchers of its failure
