Let the watches of the latest data end in turn, and describe the watch

The loss of the platform shows when a watch ends. With waits drawn at random from 6 s, the watches of all twelve watchers of a fleet of six domains may end late together: if all are cut off silently at once, nobody notices meanwhile. Each watcher now has a slot in a period of the clock; calls stay at four a second.

--- a/attacher/config_watcher.go
+++ b/attacher/config_watcher.go
@@ -21,9 +21,7 @@
 	// starts a watch detects the loss, reads the configuration again and
 	// notifies the other nodes.
 	watchStartsPerSecond = 4
-	// minWatchInterval and maxWatchInterval bound the interval from which the wait of
-	// a watch is drawn.
-	minWatchInterval = time.Second
+	// maxWatchInterval bounds the interval from which the wait of a watch is drawn.
 	maxWatchInterval = 25 * time.Second
 	// minBackoff and maxBackoff bound the backoff after a failed call.
 	minBackoff = 200 * time.Millisecond
@@ -179,25 +177,14 @@
 	return Recent
 }
 
-// nextWatchWait returns a random wait for the next watch. A start of the fleet, a change or
-// an outage ends the watches of all nodes together, so the waits are drawn from the whole
-// interval: if they all had about its length, no node would start a watch for most of it.
+// nextWatchWait returns the wait for the next watch. Those of recent data are drawn from the
+// whole interval: a start of the fleet, a change or an outage ends the watches of all nodes
+// together, and they would go on to end together.
 func (w *configWatcher) nextWatchWait(f Freshness) time.Duration {
 	if f == Recent {
 		return checkWait + rand.N(maxWatchInterval)
 	}
-	return drawWait(w.view(), watchStartsPerSecond)
-}
-
-// drawWait returns a random wait for a watch of the latest data, with which all watchers
-// together start a number of them per second.
-func drawWait(view *gossiper.View, startsPerSecond int) time.Duration {
-	watchers := 0
-	for _, domain := range view.Domains() {
-		watchers += len(view.Watchers(domain))
-	}
-	mean := time.Duration(watchers) * time.Second / time.Duration(startsPerSecond)
-	return checkWait + rand.N(min(max(2*mean, minWatchInterval), maxWatchInterval))
+	return slotWait(w.view(), w.role.name, watchStartsPerSecond)
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/attacher/evacuation.go
+++ b/attacher/evacuation.go
@@ -109,6 +109,7 @@
 	source     Evacuations
 	evacuation *evacuation
 	view       func() *gossiper.View
+	name       string
 	// watches reports whether this node watches the latest data.
 	watches func() bool
 	// announce sends what this node knows to all others.
@@ -211,9 +212,9 @@
 	}
 }
 
-// nextWait returns a random wait for the next watch.
+// nextWait returns the wait for the next watch.
 func (w *evacuationWatcher) nextWait() time.Duration {
-	return drawWait(w.view(), evacuationStartsPerSecond)
+	return slotWait(w.view(), w.name, evacuationStartsPerSecond)
 }
 
 // reset reads the evacuations again, if this node watches them: the platform has lost its
--- a/attacher/evacuation_test.go
+++ b/attacher/evacuation_test.go
@@ -95,7 +95,7 @@
 	e = evacuator.New("a", 5*time.Second)
 	state := &evacuation{Evacuator: e, reporter: reporter.New(io.Discard, name, log.InfoLevel), endpoints: func() []*schema.Endpoint { return nil }, recheck: func() {}}
 	view := func() *gossiper.View { return viewOf(nodes) }
-	w = &evacuationWatcher{source: s, evacuation: state, view: view, watches: newRole(name, view, nil).watches, announce: func() {}}
+	w = &evacuationWatcher{source: s, evacuation: state, view: view, name: name, watches: newRole(name, view, nil).watches, announce: func() {}}
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
 	group.Go(func() { w.run(ctx) })
--- a/attacher/module.go
+++ b/attacher/module.go
@@ -252,7 +252,7 @@
 	f.beaconer = beaconer.New(self, t, &beaconSource{st, c, f.allocator, f.estimator, f.shedder, w, q, ev, f.configWatcher.role}, beaconInterval, f.configWatcher,
 		&beaconListener{f.balancer, f.estimator, f.shedder, w, q, st, state, r})
 	directory.Beaconer = f.beaconer
-	f.evacuations = &evacuationWatcher{source: p.Evacuations, evacuation: state, view: f.beaconer.View, watches: f.configWatcher.role.watches, announce: f.beaconer.Announce}
+	f.evacuations = &evacuationWatcher{source: p.Evacuations, evacuation: state, view: f.beaconer.View, name: node.GetName(), watches: f.configWatcher.role.watches, announce: f.beaconer.Announce}
 	f.configWatcher.onReset, f.configWatcher.role.announce = f.evacuations.reset, f.beaconer.Announce
 	notifier.beaconer = f.beaconer
 	cl.Attach(&beaconFleet{f.beaconer})
--- a/attacher/node.go
+++ b/attacher/node.go
@@ -82,6 +82,8 @@
 	n := &Node{parts: p, connections: newConnectionLimiter(p.Settings.GetBounds().GetFiles(), idleTimeout(p.Confirmer))}
 	p.Recorder.Publish("state_version", func() any { return p.Confirmer.Version() })
 	p.Recorder.Publish("members_live", func() any { return p.Fleet.beaconer.View().LiveCount() })
+	p.Recorder.Publish("blind", func() any { return p.Fleet.configWatcher.role.isBlind() })
+	p.Recorder.Publish("watch_takeovers", func() any { return p.Fleet.configWatcher.role.takeovers() })
 	p.Recorder.Publish("upstream", func() any { return p.Supervisor.Endpoints() })
 	p.Recorder.Publish("shares", func() any { return p.Fleet.shedder.Shares() })
 	p.Recorder.Publish("cold", func() any { return p.Traffic.rationer.Budgets() })
--- a/attacher/role_test.go
+++ b/attacher/role_test.go
@@ -328,7 +328,7 @@
 // data, maxStaleness after the acknowledgement. Faults begin at most 3 s before the version
 // is written.
 func TestVersionReachesAllInTouch(t *testing.T) {
-	sizes := map[string]struct{ nodes, domains int }{"4 nodes": {4, 1}, "6 nodes": {6, 1}, "84 nodes": {84, 6}}
+	sizes := map[string]struct{ nodes, domains int }{"4 nodes": {4, 1}, "6 nodes": {6, 1}, "7 nodes": {7, 5}, "84 nodes": {84, 6}}
 	faults := map[string]fault{"silent": faultSilent, "refused": faultRefused, "frozen": faultFrozen}
 	for size, s := range sizes {
 		for who, choose := range chosen {
--- a/beaconer/large_test.go
+++ b/beaconer/large_test.go
@@ -82,6 +82,45 @@
 	}
 }
 
+// TestBlindNodesAreKnown guards against nodes that rely on a watcher that does not reach the
+// platform: all must learn of it at once if it announces it, and with its next beacons if
+// not, also where these are relayed.
+func TestBlindNodesAreKnown(t *testing.T) {
+	cases := map[string]struct {
+		size     int
+		announce bool
+		within   time.Duration
+	}{
+		"6 nodes":             {6, false, 300 * time.Millisecond},
+		"6 nodes, announced":  {6, true, 20 * time.Millisecond},
+		"48 nodes":            {48, false, 900 * time.Millisecond},
+		"48 nodes, announced": {48, true, 20 * time.Millisecond},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				nw := newNetwork()
+				defer nw.stopAll()
+				nodes := nw.startFleet(c.size)
+				time.Sleep(8 * time.Second)
+				blind := nodes[3]
+				self, _ := blind.Identity()
+				for _, value := range []bool{true, false} {
+					blind.blind.Store(value)
+					if c.announce {
+						blind.Announce()
+					}
+					time.Sleep(c.within)
+					for _, n := range nodes {
+						g.Expect(n.View().Members[self].GetBlind()).To(Equal(value))
+					}
+				}
+			})
+		})
+	}
+}
+
 // TestLargeFleetChanges guards against relays as single points of failure: nodes that
 // work must not become silent anywhere when nodes are killed, relays among them, when
 // links between nodes fail, or when datagrams are lost; nodes that do not work must be
