Evacuate failure domains on our own platform

Config.evacuated had no effect there. A node now follows it with the same evacuator, and operators edit it with quetzalctl evacuate and return; quetzalctl hosts marks the domains. The check beside the upstream moves to evacuator.Upstreams, which both assemblies use.

The demo empties a domain and takes it back. That raises the version of the configuration by two before the sheet is planned, so the plan that it applies is 7 instead of 5.

--- a/attacher/evacuation.go
+++ b/attacher/evacuation.go
@@ -8,9 +8,7 @@
 	"time"
 
 	"quetzalhub/evacuator"
-	"quetzalhub/forwarder"
 	"quetzalhub/gossiper"
-	"quetzalhub/refuser"
 	"quetzalhub/reporter"
 	"quetzalhub/schema"
 	"quetzalhub/storer"
@@ -85,32 +83,6 @@
 	}
 }
 
-// evacuatedUpstreams accepts no calls while the failure domain of this node is evacuated.
-type evacuatedUpstreams struct {
-	forwarder.Upstreams
-	evacuator *evacuator.Evacuator
-}
-
-// UpstreamFor returns the code EndpointMissing until the evacuations are known, and
-// DomainEvacuated during one.
-func (u *evacuatedUpstreams) UpstreamFor(service string) (forwarder.Upstream, refuser.Code) {
-	if code := u.barred(); code != refuser.None {
-		return forwarder.Upstream{}, code
-	}
-	return u.Upstreams.UpstreamFor(service)
-}
-
-func (u *evacuatedUpstreams) barred() refuser.Code {
-	switch {
-	case u.evacuator.Accepts():
-		return refuser.None
-	case !u.evacuator.Informed():
-		return refuser.EndpointMissing
-	default:
-		return refuser.DomainEvacuated
-	}
-}
-
 // evacuationWatcher learns of evacuations from the platform. All nodes read them when they
 // start; then the watchers of each failure domain watch them and tell the others.
 type evacuationWatcher struct {
--- a/attacher/evacuation_test.go
+++ b/attacher/evacuation_test.go
@@ -209,7 +209,7 @@
 		s := &fakeEvacuations{position: evacuator.Position{Era: 1, Revision: 40}, down: true}
 		e, _, stop := startEvacuationWatcher(s, "node-1", 48)
 		defer stop()
-		upstreams := &evacuatedUpstreams{readyUpstreams{}, e}
+		upstreams := &evacuator.Upstreams{Upstreams: readyUpstreams{}, Evacuator: e}
 		code := func() refuser.Code {
 			_, code := upstreams.UpstreamFor("orders")
 			return code
--- a/attacher/module.go
+++ b/attacher/module.go
@@ -384,7 +384,7 @@
 		Reporter:       rep,
 		SlotTime:       f.estimator.SlotTime,
 	})
-	evacuated := &evacuatedUpstreams{st, ev}
+	evacuated := &evacuator.Upstreams{Upstreams: st, Evacuator: ev}
 	upstreams := &closingUpstreams{Upstreams: evacuated}
 	lifetime := &forwarder.Lifetime{}
 	return &traffic{
@@ -414,7 +414,7 @@
 		relay: forwarder.NewRelay(forwarder.RelayOptions{
 			Identity:         f.beaconer,
 			Upstreams:        upstreams,
-			Barred:           evacuated.barred,
+			Barred:           evacuated.Barred,
 			Lifetime:         lifetime,
 			Fencer:           fence,
 			Tracker:          requestTracker,
--- a/cmd/quetzalctl/fleet.go
+++ b/cmd/quetzalctl/fleet.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"maps"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -28,16 +30,33 @@
 		return fail(err)
 	}
 	versions := c.fetchVersions(ctx, fleet.GetMembers())
+	evacuated, err := c.evacuated(ctx)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "quetzalctl: evacuated domains are not marked:", err)
+	}
 	var rows [][]string
 	for i, m := range fleet.GetMembers() {
 		rows = append(rows, []string{
-			m.GetName(), m.GetRegion(), m.GetDomain(), m.GetAddress(),
+			m.GetName(), m.GetRegion(), domainLabel(m.GetDomain(), evacuated), m.GetAddress(),
 			enumLabel(m.GetStatus().String()), formatEndpoints(m), strconv.FormatUint(versions[i], 10),
 		})
 	}
 	return c.printTable(fleet, "HOST\tREGION\tDOMAIN\tADDRESS\tSTATUS\tUPSTREAMS\tVERSION", rows)
 }
 
+// evacuated returns the failure domains that are evacuated.
+func (o *options) evacuated(ctx context.Context) ([]string, error) {
+	state, err := o.read(ctx)
+	return state.GetConfig().GetEvacuated(), err
+}
+
+func domainLabel(domain string, evacuated []string) string {
+	if slices.Contains(evacuated, domain) {
+		return domain + " (evacuated)"
+	}
+	return domain
+}
+
 func formatEndpoints(m *schema.Member) string {
 	var list []string
 	for _, e := range m.GetEndpoints() {
--- a/cmd/quetzalctl/main.go
+++ b/cmd/quetzalctl/main.go
@@ -41,6 +41,8 @@
 	subcommands.Register(&routeList{options: o}, "configuration")
 	subcommands.Register(&sheetPlan{options: o}, "configuration")
 	subcommands.Register(&sheetApply{options: o}, "configuration")
+	subcommands.Register(&domainEvacuate{options: o}, "fleet")
+	subcommands.Register(&domainReturn{options: o}, "fleet")
 	subcommands.Register(&hostList{options: o}, "fleet")
 	subcommands.Register(&shardList{options: o}, "fleet")
 	subcommands.Register(&refusalShow{options: o}, "fleet")
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -125,6 +125,30 @@
 	return nil
 }
 
+// Evacuate asks that the upstreams of a failure domain receive no requests.
+func Evacuate(s *schema.State, domain string) error {
+	if domain == "" {
+		return errors.NotValidf("failure domain without a name")
+	}
+	if slices.Contains(s.GetConfig().GetEvacuated(), domain) {
+		return errors.AlreadyExistsf("evacuation of failure domain %q", domain)
+	}
+	config := configForUpdate(s)
+	config.Evacuated = append(config.Evacuated, domain)
+	return nil
+}
+
+// Return takes back a failure domain that is evacuated.
+func Return(s *schema.State, domain string) error {
+	i := slices.Index(s.GetConfig().GetEvacuated(), domain)
+	if i < 0 {
+		return errors.NotFoundf("evacuation of failure domain %q", domain)
+	}
+	config := configForUpdate(s)
+	config.Evacuated = slices.Delete(config.Evacuated, i, i+1)
+	return nil
+}
+
 // NewSecret returns a new random secret for a key.
 func NewSecret() string { return keyPrefix + rand.Text() }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -50,6 +50,14 @@
 answers=$(caller -count 40 -pause 25ms "${URLS[@]}")
 echo "$answers"
 [ "$answers" = "status 200: 40 requests" ] || fail "requests within the rate were refused"
+echo "== evacuate domain-1: 40 requests within rate and burst run elsewhere; then take it back"
+ctl evacuate domain-1 || fail "cannot evacuate domain-1"
+sleep 4
+ctl hosts | grep -c evacuated | grep -qx 2 || fail "two hosts are not marked as evacuated"
+answers=$(caller -count 40 -pause 25ms "${URLS[@]}")
+echo "$answers"
+[ "$answers" = "status 200: 40 requests" ] || fail "requests were refused during an evacuation"
+ctl return domain-1 || fail "cannot take back domain-1"
 echo "== 200 requests at once, ten times the burst"
 caller -count 200 -width 20 http://127.0.0.1:10010/sizes/7
 echo "== plan a sheet with an error, then plan and apply a correct one"
@@ -57,7 +65,7 @@
 ctl plan "$RUN/sheet.csv" && fail "a sheet with an error was accepted"
 printf 'espacio;tasa;rafaga\r\ngloves;60,5;30\r\nplanes;40;20\r\n' >"$RUN/sheet.csv"
 ctl plan "$RUN/sheet.csv" || fail "cannot plan the sheet"
-ctl apply -plan 5 "$RUN/sheet.csv" || fail "cannot apply the sheet"
+ctl apply -plan 7 "$RUN/sheet.csv" || fail "cannot apply the sheet"
 echo "== withdraw the key"
 while read -r workspace fingerprint _; do
   [ "$workspace" != gloves ] || ctl key-withdraw "$fingerprint" || fail "cannot withdraw the key"
--- a/server/server.go
+++ b/server/server.go
@@ -9,6 +9,7 @@
 package server
 
 import (
+	"cmp"
 	"crypto/tls"
 	"net"
 	"time"
@@ -25,6 +26,7 @@
 	"quetzalhub/confirmer"
 	"quetzalhub/deduplicator"
 	"quetzalhub/editor"
+	"quetzalhub/evacuator"
 	"quetzalhub/fencer"
 	"quetzalhub/forwarder"
 	"quetzalhub/gossiper"
@@ -63,6 +65,7 @@
 		newCaller,
 		newLimiter,
 		newAnnouncer,
+		newEvacuator,
 		newBalancer,
 		newWatcher,
 		newDeduplicator,
@@ -179,8 +182,27 @@
 	})
 }
 
-func newBalancer(s *schema.Settings, g *gossiper.Gossiper) *balancer.Balancer {
-	return balancer.New(g, s.GetNode().GetRegion())
+// defaultEvacuation is the time within which an evacuation binds if the settings give none:
+// a configuration with evacuated domains must not be without effect.
+const defaultEvacuation = 5 * time.Second
+
+// newEvacuator returns an evacuator that follows the configuration.
+func newEvacuator(s *schema.Settings, c *confirmer.Confirmer) *evacuator.Evacuator {
+	bound := cmp.Or(s.GetBounds().GetEvacuation().AsDuration(), defaultEvacuation)
+	e := evacuator.New(s.GetNode().GetDomain(), bound)
+	c.OnChange(func(change confirmer.Change) {
+		age := time.Duration(0)
+		if change.Old == nil {
+			// What a node finds at its start may have been in force for any time.
+			age = bound
+		}
+		e.List(evacuator.Position{Revision: change.New.Version()}, change.New.State.GetConfig().GetEvacuated(), true, age)
+	})
+	return e
+}
+
+func newBalancer(s *schema.Settings, g *gossiper.Gossiper, e *evacuator.Evacuator) *balancer.Balancer {
+	return balancer.New(g, s.GetNode().GetRegion(), balancer.WithDomains(e))
 }
 
 func newWatcher(s *schema.Settings, store storer.Store, c *confirmer.Confirmer, g *gossiper.Gossiper, logger *log.Logger) *watcher.Watcher {
@@ -243,6 +265,7 @@
 	Caller    *caller.Caller
 	Announcer *announcer.Announcer
 	Balancer  *balancer.Balancer
+	Evacuator *evacuator.Evacuator
 	Fencer    *fencer.Fencer
 	Keys      *deduplicator.Deduplicator
 	Refusers  *refusers
@@ -275,6 +298,8 @@
 	active := &tracker.Tracker{}
 	account := accountant.New(int64(p.Settings.GetBounds().GetMemory()) << 20 * int64(settings.GetShare()) / 100)
 	p.Recorder.Publish("bodies", func() any { return account.Usage() })
+	p.Recorder.Publish("evacuations", func() any { return p.Evacuator.States() })
+	upstreams := &evacuator.Upstreams{Upstreams: p.Announcer, Evacuator: p.Evacuator}
 	entry := forwarder.EntryOptions{
 		DefaultTimeout:   settings.GetDeadline().AsDuration(),
 		RetryBudget:      settings.GetRetries(),
@@ -299,7 +324,8 @@
 		}),
 		relay: forwarder.NewRelay(forwarder.RelayOptions{
 			Identity:     p.Gossiper,
-			Upstreams:    p.Announcer,
+			Upstreams:    upstreams,
+			Barred:       upstreams.Barred,
 			Fencer:       p.Fencer,
 			Tracker:      active,
 			Refuser:      p.Refusers.nodes,
