--- a/attacher/module.go
+++ b/attacher/module.go
@@ -406,7 +406,7 @@
 		SlotTime:       f.estimator.SlotTime,
 		State:          c,
 	})
-	evacuated := &evacuatedUpstreams{&recalledUpstreams{st, dep}, ev}
+	evacuated := &evacuator.Upstreams{Upstreams: &recalledUpstreams{st, dep}, Evacuator: ev}
 	upstreams := &closingUpstreams{Upstreams: evacuated}
 	lifetime := &forwarder.Lifetime{}
 	admission := rationer.New(rationer.Options{Fleet: f.beaconer, Costs: f.estimator, Shedder: f.shedder, Intake: configuredIntake(c), Reporter: rep})
@@ -438,7 +438,7 @@
 		relay: forwarder.NewRelay(forwarder.RelayOptions{
 			Identity:         f.beaconer,
 			Upstreams:        upstreams,
-			Barred:           evacuated.barred,
+			Barred:           evacuated.Barred,
 			Lifetime:         lifetime,
 			Fencer:           fence,
 			Tracker:          requestTracker,
