Take an upstream for cold after the node itself was suspended

The node was suspended while its upstream started anew under the same identifier; when it went on, a report from before was there first, and no connection had been used within half a second. Change: before a report or a request is taken, the supervisor looks whether its own polls stopped for 0.7 s or the upstream was quiet, and then counts it as cold and checks it. A lost connection counts as a sign only while no other is open, so that lost answers alone cause no checks.

--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -105,8 +105,8 @@
 	Rejected
 	// Reassigned means that the address now belongs to another upstream.
 	Reassigned
-	// Lost means that the connection ended without an answer, although the upstream
-	// accepts others. It may have started anew.
+	// Lost means that the connection ended without an answer, and no other is open,
+	// although the upstream accepts new ones. It may have started anew.
 	Lost
 )
 
@@ -364,12 +364,22 @@
 		rc.suspicion = r.options.Quarantine.Suspicion(rc.quarantineRequest(from).Fingerprint())
 		r.observe(rc, Unreachable)
 		return refuser.UpstreamCrashed
+	case r.connected(rc.upstream.Address):
+		r.observe(rc, Failed)
+		return refuser.UpstreamLost
 	default:
 		r.observe(rc, Lost)
 		return refuser.UpstreamLost
 	}
 }
 
+// connected reports whether the transport has another connection to an address, which shows
+// that the upstream has not started anew.
+func (r *Relay) connected(address string) bool {
+	t, ok := r.options.Transport.(interface{ Connected(address string) bool })
+	return ok && t.Connected(address)
+}
+
 func (r *Relay) observe(rc *relayCall, o Observation) {
 	if r.options.Observer != nil {
 		r.options.Observer.Observe(rc.envelope.GetService(), o)
--- a/supervisor/confirmation.go
+++ b/supervisor/confirmation.go
@@ -56,7 +56,8 @@
 		s.confirmed, s.trustReports = false, false
 		s.suspectCold("silent")
 	}
-	s.suspectQuiet(time.Now())
+	s.suspectUnnoticed(time.Now())
+	s.warmth.tickedAt = time.Now()
 	interval := probeInterval
 	if s.warmth.checkDue {
 		interval = checkInterval
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -235,6 +235,7 @@
 		return false
 	}
 	ready := s.ready()
+	s.suspectUnnoticed(now)
 	s.reported = true
 	if s.foreign.id == r.ID {
 		s.foreign = instance{}
@@ -376,6 +377,7 @@
 // UpstreamFor returns the upstream of a service, or the code that says why it
 // accepts no calls.
 func (s *Supervisor) UpstreamFor(service string) (forwarder.Upstream, refuser.Code) {
+	s.checkUnnoticed()
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	switch {
--- a/supervisor/warmth.go
+++ b/supervisor/warmth.go
@@ -10,6 +10,9 @@
 // which an upstream may have turned cold unnoticed.
 const quietIntervals = 2
 
+// maxTick is the time between two polls of Run above which this process was suspended.
+const maxTick = 700 * time.Millisecond
+
 // checkInterval is the least time between a health check and one that a later sign of a
 // cold upstream asks for.
 const checkInterval = 200 * time.Millisecond
@@ -46,8 +49,10 @@
 	checkDue bool
 	// heardAt is the time of the last report or response.
 	heardAt time.Time
-	turns   uint64
-	checks  uint64
+	// tickedAt is the time of the last poll of Run.
+	tickedAt time.Time
+	turns    uint64
+	checks   uint64
 }
 
 // Warmth is the state of the upstream as published to operators.
@@ -163,12 +168,44 @@
 	return s.warmth.checkDue
 }
 
-// suspectQuiet suspects the upstream once if it has neither sent a report nor answered for
-// some time: it may have been replaced by another start meanwhile. The caller holds the
-// lock.
-func (s *Supervisor) suspectQuiet(now time.Time) {
-	heard := s.warmth.heardAt
-	if s.confirmed && !s.draining && now.Sub(heard) > quietIntervals*s.options.Interval && s.warmth.evidenceAt.Before(heard) {
-		s.suspectCold("quiet")
+// mayHaveTurned returns why the upstream may have started anew unnoticed, or an empty text.
+// The caller may hold a read lock only.
+func (s *Supervisor) mayHaveTurned(now time.Time) string {
+	w := &s.warmth
+	if !s.confirmed || s.draining || s.warmup().Intake <= 0 {
+		return ""
+	}
+	switch {
+	case now.Sub(w.heardAt) > quietIntervals*s.options.Interval && w.evidenceAt.Before(w.heardAt):
+		return "quiet"
+	case !w.tickedAt.IsZero() && now.Sub(w.tickedAt) > maxTick && w.evidenceAt.Before(w.tickedAt):
+		return "node was not scheduled"
+	default:
+		return ""
+	}
+}
+
+// suspectUnnoticed suspects the upstream if it may have started anew unnoticed: once if it
+// has neither sent a report nor answered for some time, and if this process was suspended,
+// since reports and requests that it then finds may be older than that start. The caller
+// holds the lock.
+func (s *Supervisor) suspectUnnoticed(now time.Time) {
+	if why := s.mayHaveTurned(now); why != "" {
+		s.suspectCold(why)
 	}
 }
+
+// checkUnnoticed is suspectUnnoticed for callers without a lock.
+func (s *Supervisor) checkUnnoticed() {
+	now := time.Now()
+	s.mu.RLock()
+	turned := s.mayHaveTurned(now) != ""
+	s.mu.RUnlock()
+	if !turned {
+		return
+	}
+	s.mu.Lock()
+	s.suspectUnnoticed(now)
+	s.mu.Unlock()
+	s.wake()
+}
--- a/supervisor/warmth_test.go
+++ b/supervisor/warmth_test.go
@@ -72,6 +72,8 @@
 	// id and born are those in the last report.
 	id   string
 	born int64
+	// freeze ends Run, as if the process was suspended.
+	freeze func()
 }
 
 func (c *coldCase) report(id string, born int64, cold time.Duration) {
@@ -118,6 +120,7 @@
 			Service: "orders", Interval: interval, Prober: c.prober, Memory: witness.New(), Reporter: reporter.Discard{}, OnChange: func() {},
 			Warmups: warmups(w), Bound: supervisor.Bound{Ratio: 1.5, Margin: 8},
 		})
+		c.freeze = cancel
 		go c.Run(ctx)
 		time.Sleep(100 * time.Millisecond)
 		test(g, c)
@@ -300,3 +303,33 @@
 		g.Expect(c.prober.count()).To(Equal(before))
 	})
 }
+
+// TestSuspendedNode guards against a node that was suspended while its upstream started anew,
+// and takes a report from before that for a new one, or finds many requests at once.
+func TestSuspendedNode(t *testing.T) {
+	cases := map[string]struct {
+		suspended time.Duration
+		report    bool
+		admitted  int
+	}{
+		"long":                       {2 * time.Second, false, 0},
+		"long, with a report":        {2 * time.Second, true, 0},
+		"longer than it may be idle": {9 * time.Second, true, 0},
+		"briefly":                    {300 * time.Millisecond, true, 15},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			runCold(t, supervisor.Warmup{Time: warmTime, Intake: 12}, func(g *WithT, c *coldCase) {
+				c.report("a", 10, 0)
+				time.Sleep(time.Second)
+				g.Expect(c.burst(15)).To(Equal(15))
+				c.freeze()
+				time.Sleep(tc.suspended)
+				if tc.report {
+					c.report("a", 10, 0)
+				}
+				g.Expect(c.burst(15)).To(Equal(tc.admitted))
+			})
+		})
+	}
+}
--- a/transporter/idle_test.go
+++ b/transporter/idle_test.go
@@ -164,6 +164,14 @@
 			send()
 			send()
 			g.Expect(resets).To(Equal(c.resets))
+			g.Expect(tr.Connected(s.Listener.Addr().String())).To(BeTrue())
+			for _, conn := range conns {
+				_ = conn.Close()
+			}
+			time.Sleep(10 * time.Millisecond)
+			g.Expect(tr.Connected(s.Listener.Addr().String())).To(BeFalse())
+			send()
+			g.Expect(tr.Connected(s.Listener.Addr().String())).To(BeTrue())
 		})
 	}
 }
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -178,6 +178,25 @@
 	return c
 }
 
+// Connected reports whether an idle connection to an address is open. It closes those that
+// can't be used.
+func (t *Transporter) Connected(address string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.idle[address] = slices.DeleteFunc(t.idle[address], func(c *connection) bool {
+		if c.alive() {
+			return false
+		}
+		_ = c.Close()
+		return true
+	})
+	if len(t.idle[address]) == 0 {
+		delete(t.idle, address)
+		return false
+	}
+	return true
+}
+
 // release returns a connection to the pool, or closes it if the pool is full.
 func (t *Transporter) release(c *connection) {
 	c.idleSince, c.swept = time.Now(), false
