--- a/balancer/evacuation_test.go
+++ b/balancer/evacuation_test.go
@@ -83,7 +83,10 @@
 				return byCapacity.PickInTime("orders", balancer.Need{Left: time.Second, Expected: 40 * time.Millisecond}, nil)
 			})
 			key := uint64(0)
-			share(func() (*balancer.Target, bool) { key++; return byCapacity.PickHashed("orders", balancer.Need{}, key, nil) })
+			share(func() (*balancer.Target, bool) {
+				key++
+				return byCapacity.PickHashed("orders", balancer.Need{}, key, nil)
+			})
 			share(func() (*balancer.Target, bool) { key++; return byCapacity.PickIndex("orders", balancer.Need{}, key) })
 		})
 	}
