Measure what beacons cost by failure domain

TestCostByKind runs fleets under load without a network and prints the bytes that nodes send to their own and to other failure domains. Addresses of test nodes past the 255th were not valid; they are now.

--- a/beaconer/beaconer_test.go
+++ b/beaconer/beaconer_test.go
@@ -35,6 +35,9 @@
 	bytes int
 	// usages is reported by all nodes; it is one small entry unless set.
 	usages []*schema.Usage
+	// domains is the number of failure domains, and loaded is true if the nodes are under load.
+	domains int
+	loaded  bool
 	// latest holds the last datagram sent from each address, for replays.
 	latest map[string][]byte
 }
@@ -49,6 +52,8 @@
 	stopped chan struct{}
 	// remarks are sent in beacons.
 	remarks atomic.Pointer[[]*schema.Remark]
+	load    *loaded
+	sent    traffic
 }
 
 func (n *node) Send(address string, datagram []byte) {
@@ -66,6 +71,9 @@
 	n.net.bytes += len(datagram)
 	n.net.latest[n.address] = datagram
 	to := n.net.nodes[address]
+	if to != nil {
+		n.sent.add(len(datagram), to.domain != n.domain)
+	}
 	if to == nil || n.net.partitioned[n.address] != n.net.partitioned[address] || n.net.rng.Float64() < n.net.loss ||
 		n.net.blocked != nil && n.net.blocked(n.address, address) {
 		return
@@ -77,6 +85,9 @@
 	if !n.ready.Load() {
 		return nil
 	}
+	if n.net.loaded {
+		return n.load.endpoints()
+	}
 	return []*schema.Endpoint{{Service: "orders", Phase: schema.Phase_PHASE_READY, Limit: 10}}
 }
 
@@ -88,24 +99,43 @@
 }
 
 func (n *node) Suspicions() []*schema.Suspicion { return nil }
-func (n *node) Inflows() []*schema.Inflow       { return nil }
-func (n *node) Usages() []*schema.Usage         { return n.net.usages }
-func (n *node) Profiles() []*schema.Profile     { return nil }
-func (n *node) Version() uint64                 { return 1 }
+
+func (n *node) Inflows() []*schema.Inflow {
+	if n.net.loaded {
+		return n.load.inflows()
+	}
+	return nil
+}
+
+func (n *node) Usages() []*schema.Usage {
+	if n.net.loaded {
+		return n.load.usages()
+	}
+	return n.net.usages
+}
+
+func (n *node) Profiles() []*schema.Profile {
+	if n.net.loaded {
+		return n.load.profiles()
+	}
+	return nil
+}
+
+func (n *node) Version() uint64 { return 1 }
 
 func newNetwork() *network {
 	return &network{
 		nodes: map[string]*node{}, partitioned: map[string]bool{}, rng: rand.New(rand.NewPCG(1, 2)), latest: map[string][]byte{},
-		usages: []*schema.Usage{{Workspace: "gloves", Arrivals: 2}},
+		usages: []*schema.Usage{{Workspace: "gloves", Arrivals: 2}}, domains: domains,
 	}
 }
 
 func name(i int) string    { return fmt.Sprint("node-", i) }
-func address(i int) string { return fmt.Sprint("10.0.0.", i, ":7000") }
+func address(i int) string { return fmt.Sprint("10.0.", i/256, ".", i%256, ":7000") }
 
 // start starts node i, which learns of the known nodes from the directory.
 func (nw *network) start(i int, known ...int) *node {
-	n := &node{net: nw, address: address(i), domain: fmt.Sprint("domain-", i%domains), stopped: make(chan struct{})}
+	n := &node{net: nw, address: address(i), domain: fmt.Sprint("domain-", i%nw.domains), stopped: make(chan struct{}), load: newLoaded(i)}
 	n.ready.Store(true)
 	nw.mu.Lock()
 	incarnation := nw.rng.Uint64()
