Pack relayed beacons and send each fact to a domain once

A relay sent every beacon of its group to each relay of the other domains, and those of the whole fleet to 20 nodes. Relayed beacons are now packed for nodes that state Member.packs, go to one of two carriers of each other domain, and to groups of six. Without relays, other domains receive deltas. Profiles go with every tenth relayed beacon. beacon_bytes counts what is sent, by kind.

--- a/attacher/node.go
+++ b/attacher/node.go
@@ -81,6 +81,7 @@
 	n := &Node{parts: p, connections: newConnectionLimiter(p.Settings.GetBounds().GetFiles(), idleTimeout(p.Confirmer))}
 	p.Recorder.Publish("state_version", func() any { return p.Confirmer.Version() })
 	p.Recorder.Publish("members_live", func() any { return p.Fleet.beaconer.View().LiveCount() })
+	p.Recorder.Publish("beacon_bytes", func() any { return p.Fleet.beaconer.SentBytes() })
 	p.Recorder.Publish("upstream", func() any { return p.Supervisor.Endpoints() })
 	p.Recorder.Publish("shares", func() any { return p.Fleet.shedder.Shares() })
 	p.Recorder.Publish("requests_held", func() any { return len(p.Quarantiner.HeldSuspicions()) })
--- a/beaconer/beaconer.go
+++ b/beaconer/beaconer.go
@@ -8,7 +8,9 @@
 // follow from what is sent: a node is a relay as long as others ask it to pass on their
 // beacons. No election is needed: a node sends its beacons directly to all nodes from which
 // it has not heard lately, which answer directly, and to all nodes while its relay does not
-// return them. Then it chooses another one. Relayed beacons leave out what has not changed.
+// return them. Then it chooses another one. Relayed beacons leave out what has not changed,
+// and are packed. Those for another failure domain go to one relay there, which sends them to
+// the others. In a small fleet, nodes send other failure domains what has changed.
 //
 // A beacon holds the node's record, the load of its local upstream, the version
 // of its state and its usage by workspace. A node that sends no beacon for
@@ -99,8 +101,9 @@
 	peerRetention = 10 * time.Minute
 	// silentEvery is the number of intervals between two beacons to a silent node.
 	silentEvery = 5
-	// profilesEvery means that one in this many beacons carries profiles.
-	profilesEvery = 5
+	// profilesEvery means that one in this many beacons carries profiles, and
+	// relayedProfilesEvery the same for relayed beacons. Profiles change within seconds.
+	profilesEvery, relayedProfilesEvery = 5, 10
 	// Of the first startupBeacons beacons after a start, one in
 	// startupProfilesEvery carries profiles: after a power loss all nodes must
 	// learn the costs again while callers are already returning.
@@ -117,6 +120,8 @@
 	// fullEvery means that one in this many relayed beacons is not a delta. The first
 	// startupBeacons after a start are not deltas either.
 	fullEvery = 10
+	// directFullEvery is the same for beacons that are not relayed.
+	directFullEvery = 5
 )
 
 // Beaconer sends and receives beacons and maintains the membership table.
@@ -149,6 +154,11 @@
 	relay  relay
 	// sentUsages holds the arrivals by workspace that were last sent.
 	sentUsages map[string]float32
+	// upstream identifies the local upstream, and upstreamNumber is the number of the first
+	// beacon with it.
+	upstream       string
+	upstreamNumber uint64
+	sent           sentBytes
 }
 
 // New returns a Beaconer for the node self.
@@ -168,7 +178,7 @@
 		relay:       relay{subscribers: map[string]time.Time{}, distrustedUntil: map[string]time.Time{}},
 		sentUsages:  map[string]float32{},
 	}
-	self.Digests = true
+	self.Digests, self.Packs = true, true
 	b.publish()
 	return b
 }
@@ -276,27 +286,45 @@
 	b.updateRelay(now)
 	b.number++
 	relayed := b.sendToRelay(now)
-	var plain, asking []byte
+	var plain, asking, lean []byte
+	base := !b.relay.inUse && b.startsDirectSeries()
 	for _, p := range b.peers {
 		missing := b.isMissing(p, now)
 		switch {
 		case p.silent && b.ticks%silentEvery != 0:
+		case !missing && !base && !b.relay.inUse && b.takesDeltas(p):
+			if lean == nil {
+				lean = b.encodeBeacon(beaconOptions{direct: true, delta: true, lean: true})
+			}
+			b.send(p, beaconBytes, lean)
 		case missing || !relayed:
 			if asking == nil {
-				asking = b.encodeBeacon(beaconOptions{direct: true})
+				asking = b.encodeBeacon(beaconOptions{direct: true, base: base})
 			}
-			b.transport.Send(p.address, asking)
+			b.send(p, beaconBytes, asking)
 		case now.Before(p.directUntil):
 			if plain == nil {
 				plain = b.encodeBeacon(beaconOptions{})
 			}
-			b.transport.Send(p.address, plain)
+			b.send(p, beaconBytes, plain)
 		}
 	}
 	b.expire(now)
 	b.dirty = true
 }
 
+// startsDirectSeries reports whether the beacon with the current number is sent whole to other
+// failure domains while beacons are not relayed.
+func (b *Beaconer) startsDirectSeries() bool {
+	return b.number%directFullEvery == 0 || b.number <= startupBeacons
+}
+
+// takesDeltas reports whether a node is sent deltas while beacons are not relayed: those of
+// other failure domains, where bytes cost more.
+func (b *Beaconer) takesDeltas(p *peer) bool {
+	return b.packsFor(p) && p.member.GetDomain() != b.self.GetDomain()
+}
+
 // isMissing reports whether a node should have sent a beacon that has not arrived. It
 // probably receives none either, so that both sides send theirs directly.
 func (b *Beaconer) isMissing(p *peer, now time.Time) bool {
@@ -307,7 +335,7 @@
 	b.number++
 	datagram := b.encodeBeacon(beaconOptions{withRemarks: true})
 	for _, p := range b.peers {
-		b.transport.Send(p.address, datagram)
+		b.send(p, announcementBytes, datagram)
 	}
 	b.dirty = true
 }
@@ -329,7 +357,7 @@
 	if p.member == nil && p.address != address {
 		p.address = address
 		b.number++
-		b.transport.Send(address, b.encodeBeacon(beaconOptions{}))
+		b.send(p, beaconBytes, b.encodeBeacon(beaconOptions{}))
 	}
 }
 
@@ -338,9 +366,10 @@
 	if err := proto.Unmarshal(datagram, beacon); err != nil {
 		return
 	}
-	for _, r := range beacon.GetRelayed() {
-		b.handleRelayed(r, beacon.GetRelay())
+	if packed := beacon.GetPacked(); len(packed) > 0 {
+		b.handleDigest(b.relay.packer.unpack(packed), beacon)
 	}
+	b.handleDigest(beacon.GetRelayed(), beacon)
 	m := beacon.GetMember()
 	if m.GetName() == "" || m.GetName() == b.name {
 		return
@@ -356,7 +385,6 @@
 		p.directUntil = time.Now().Add(directIntervals * b.sendInterval())
 	}
 	if beacon.GetRelay() && b.takesForRelay(m.GetName(), m.GetIncarnation(), beacon.GetNumber()) {
-		b.relay.group = append(b.relay.group, newRelayed(m, beacon.GetNumber(), datagram))
-		b.scheduleFlush()
+		b.keepForRelays(m, beacon.GetNumber(), datagram)
 	}
 }
--- /dev/null
+++ b/beaconer/cost_size_test.go
@@ -0,0 +1,9 @@
+//go:build !scale
+
+package beaconer_test
+
+var costs = []cost{
+	{16, 3, 17e3, 18.5e3, 38e3},
+	{21, 3, 22.5e3, 24e3, 47e3},
+	{84, 3, 46e3, 1.7e3, 320e3},
+}
--- a/beaconer/encode.go
+++ b/beaconer/encode.go
@@ -1,7 +1,9 @@
 package beaconer
 
 import (
+	"fmt"
 	"math"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -24,6 +26,10 @@
 	relay bool
 	// delta leaves out what has not changed.
 	delta bool
+	// base makes later deltas refer to the beacon.
+	base bool
+	// lean leaves out of a delta what identifies the upstream, unless it has changed lately.
+	lean bool
 	// direct asks the receiver to send its beacons directly.
 	direct bool
 }
@@ -32,6 +38,9 @@
 func (b *Beaconer) ownRecord() *schema.Member {
 	m := proto.CloneOf(b.self)
 	m.Endpoints = b.source.Endpoints()
+	if id := upstreamID(m.GetEndpoints()); id != b.upstream {
+		b.upstream, b.upstreamNumber = id, b.number
+	}
 	m.Relaying = b.relay.serves()
 	if b.leaving.Load() {
 		m.Status = schema.Status_STATUS_LEFT
@@ -39,6 +48,25 @@
 	return m
 }
 
+// upstreamID identifies the upstreams of a node.
+func upstreamID(endpoints []*schema.Endpoint) string {
+	var id strings.Builder
+	for _, e := range endpoints {
+		fmt.Fprintf(&id, "%q %q %d;", e.GetService(), e.GetInstance().GetId(), e.GetInstance().GetBorn())
+	}
+	return id.String()
+}
+
+// anonymous returns copies of upstreams without what identifies them.
+func anonymous(endpoints []*schema.Endpoint) []*schema.Endpoint {
+	list := make([]*schema.Endpoint, len(endpoints))
+	for i, e := range endpoints {
+		list[i] = proto.CloneOf(e)
+		list[i].Service, list[i].Instance = "", nil
+	}
+	return list
+}
+
 // encodeBeacon returns a beacon with the current sequence number.
 func (b *Beaconer) encodeBeacon(o beaconOptions) []byte {
 	beacon := &schema.Beacon{
@@ -47,13 +75,19 @@
 	if o.delta {
 		m := beacon.Member
 		m.Address, m.Admin, m.Beacon, m.Domain, m.Region = "", "", "", "", ""
+		if o.lean && b.number > b.upstreamNumber+fullEvery {
+			m.Endpoints = anonymous(m.GetEndpoints())
+		}
 		beacon.Usages = b.changedUsages(beacon.Usages)
-	} else if o.relay {
+	} else if o.base {
 		b.storeSentUsages(beacon.Usages)
 	}
 	every := uint64(profilesEvery)
-	if b.number <= startupBeacons {
+	switch {
+	case b.number <= startupBeacons:
 		every = startupProfilesEvery
+	case o.relay:
+		every = relayedProfilesEvery
 	}
 	if b.number%every == 0 {
 		beacon.Profiles = b.source.Profiles()
--- a/beaconer/relay.go
+++ b/beaconer/relay.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"google.golang.org/protobuf/proto"
 
 	"quetzalhub/schema"
 	"quetzalhub/util/repeater"
@@ -17,7 +16,10 @@
 	// relayThreshold is the size of a fleet from which beacons are relayed.
 	relayThreshold = 32
 	// groupSize is the largest number of nodes that share a relay.
-	groupSize = 20
+	groupSize = 6
+	// pacedGroup is the number of nodes to which a relay could send whole beacons at the
+	// interval that sendInterval returns. It bounds the records that a node receives.
+	pacedGroup = 20
 	// lateIntervals is the number of intervals after which a beacon is late: the
 	// interval itself, and the time at up to two relays.
 	lateIntervals = 3
@@ -38,15 +40,18 @@
 	relayedBeaconBytes = 300
 	// maxRelayedPerSecond bounds the datagrams that a relay sends.
 	maxRelayedPerSecond = 600
+	// carriers is the number of relays of another failure domain that take turns to receive
+	// beacons for all of them, if there are at least minCarriedRelays.
+	carriers, minCarriedRelays = 2, 2
 	// flushesPerInterval is the number of times per interval that a relay passes on
 	// beacons.
 	flushesPerInterval = 2
 )
 
-// relayedDatagrams returns the number of datagrams that a relay sends per interval in
-// a fleet of the given size.
+// relayedDatagrams returns the number of datagrams, at most, that a relay sends per interval in
+// a fleet of the given size, if it passes on whole beacons to pacedGroup nodes.
 func relayedDatagrams(nodes int) int {
-	return groupSize*(nodes*relayedBeaconBytes/maxDigestBytes+flushesPerInterval) + flushesPerInterval*nodes/groupSize
+	return pacedGroup*(nodes*relayedBeaconBytes/maxDigestBytes+flushesPerInterval) + flushesPerInterval*nodes/pacedGroup
 }
 
 // relay is the state of a node as a relay and as a member of a group.
@@ -63,9 +68,10 @@
 	// subscribers holds the time of the last request of each node to pass on its
 	// beacon.
 	subscribers map[string]time.Time
-	// group and foreign hold beacons to pass on: those of the group go to the group and
-	// to other relays, those of other groups to the group.
+	// group and foreign hold shortened beacons to pass on: those of the group go to the
+	// group and to other relays, those of other groups to the group.
 	group, foreign []*schema.Relayed
+	packer         packer
 	// flushTimer runs while flushScheduled is true.
 	flushTimer     *time.Timer
 	flushScheduled bool
@@ -109,7 +115,18 @@
 		candidates = trusted
 	}
 	groups := (len(candidates) + groupSize - 1) / groupSize
-	return candidates[xxhash.Sum64String(self)%uint64(groups)]
+	relays, members := candidates[:groups], candidates[groups:]
+	if slices.Contains(relays, self) {
+		return self
+	}
+	if len(members) == 0 {
+		return relays[0]
+	}
+	// A node that joins or leaves moves few others to another relay.
+	rank, _ := slices.BinarySearchFunc(members, xxhash.Sum64String(self), func(name string, hash uint64) int {
+		return cmp.Compare(xxhash.Sum64String(name), hash)
+	})
+	return relays[min(rank, len(members)-1)*groups/len(members)]
 }
 
 // checkPeers returns whether the beacons of most nodes are late, and the nodes that may
@@ -157,40 +174,65 @@
 		return false
 	}
 	full := b.number%fullEvery == 0 || b.number <= startupBeacons
-	datagram := b.encodeBeacon(beaconOptions{relay: true, delta: !full})
+	lean := b.relay.own || b.packsFor(b.peers[b.relay.name])
+	datagram := b.encodeBeacon(beaconOptions{relay: true, delta: !full, base: full, lean: lean})
 	if b.relay.own {
-		b.relay.group = append(b.relay.group, newRelayed(b.self, b.number, datagram))
-		b.scheduleFlush()
+		b.keepForRelays(b.self, b.number, datagram)
 		return true
 	}
-	b.transport.Send(b.peers[b.relay.name].address, datagram)
+	b.send(b.peers[b.relay.name], reportBytes, datagram)
 	return now.Sub(b.relay.returnedAt) <= lateIntervals*b.sendInterval()
 }
 
-func newRelayed(m *schema.Member, number uint64, datagram []byte) *schema.Relayed {
-	return &schema.Relayed{Node: m.GetName(), Incarnation: m.GetIncarnation(), Number: number, Beacon: datagram}
+// keepForRelays keeps a beacon of the group until the next flush.
+func (b *Beaconer) keepForRelays(m *schema.Member, number uint64, datagram []byte) {
+	entry := shorten(&schema.Relayed{Node: m.GetName(), Incarnation: m.GetIncarnation(), Number: number, Beacon: datagram})
+	if entry == nil {
+		return
+	}
+	b.relay.group = append(b.relay.group, entry)
+	b.scheduleFlush()
 }
 
 // handleRelayed handles the beacon of another node, and keeps it for the group if another
-// relay has sent it.
-func (b *Beaconer) handleRelayed(r *schema.Relayed, forGroup bool) {
+// relay has sent it. It returns the entry to pass on, or nil.
+func (b *Beaconer) handleRelayed(r *schema.Relayed, forGroup bool) *schema.Relayed {
+	incarnation := b.fullIncarnation(r)
 	if r.GetNode() == b.name {
-		if r.GetIncarnation() == b.incarnation {
+		if incarnation == b.incarnation {
 			b.relay.returnedAt = time.Now()
 		}
-		return
+		return nil
 	}
 	p := b.peers[r.GetNode()]
-	if p == nil || !p.isOutdated(r.GetIncarnation(), r.GetNumber()) {
-		beacon := &schema.Beacon{}
-		if err := proto.Unmarshal(r.GetBeacon(), beacon); err != nil || beacon.GetMember().GetName() != r.GetNode() {
-			return
+	if p == nil || !p.isOutdated(incarnation, r.GetNumber()) {
+		beacon := b.decodeRelayed(r)
+		if beacon == nil {
+			return nil
 		}
 		b.applyBeacon(beacon.GetMember(), beacon)
 	}
-	if forGroup && b.takesForRelay(r.GetNode(), r.GetIncarnation(), r.GetNumber()) {
-		b.relay.foreign = append(b.relay.foreign, r)
-		b.scheduleFlush()
+	if !forGroup || !b.takesForRelay(r.GetNode(), incarnation, r.GetNumber()) {
+		return nil
+	}
+	return shorten(r)
+}
+
+// handleDigest handles the relayed beacons of a datagram.
+func (b *Beaconer) handleDigest(list []*schema.Relayed, datagram *schema.Beacon) {
+	var taken []*schema.Relayed
+	for _, r := range list {
+		if entry := b.handleRelayed(r, datagram.GetRelay()); entry != nil {
+			taken = append(taken, entry)
+		}
+	}
+	if len(taken) == 0 {
+		return
+	}
+	b.relay.foreign = append(b.relay.foreign, taken...)
+	b.scheduleFlush()
+	if datagram.GetSpread() {
+		b.sendRelayed(taken, b.otherRelays()[b.self.GetDomain()], digestHeader{relay: true})
 	}
 }
 
@@ -225,33 +267,55 @@
 	}
 	group, foreign := b.relay.group, b.relay.foreign
 	b.relay.group, b.relay.foreign = nil, nil
-	for _, digest := range b.encodeDigests(slices.Concat(group, foreign), false) {
-		for name := range b.relay.subscribers {
-			if p := b.peers[name]; p != nil {
-				b.transport.Send(p.address, digest)
-			}
+	var subscribers []*peer
+	for name := range b.relay.subscribers {
+		if p := b.peers[name]; p != nil {
+			subscribers = append(subscribers, p)
 		}
 	}
-	for _, digest := range b.encodeDigests(group, true) {
-		for _, p := range b.peers {
-			if !p.silent && p.member.GetRelaying() {
-				b.transport.Send(p.address, digest)
-			}
+	b.sendRelayed(slices.Concat(group, foreign), subscribers, digestHeader{})
+	for domain, relays := range b.otherRelays() {
+		if carrier := b.carrier(domain, relays); carrier != nil {
+			b.sendRelayed(group, []*peer{carrier}, digestHeader{relay: true, spread: true})
+		} else {
+			b.sendRelayed(group, relays, digestHeader{relay: true})
+		}
+	}
+}
+
+// otherRelays returns the other relays by failure domain.
+func (b *Beaconer) otherRelays() map[string][]*peer {
+	relays := map[string][]*peer{}
+	for _, p := range b.peers {
+		if !p.silent && p.member.GetRelaying() {
+			relays[p.member.GetDomain()] = append(relays[p.member.GetDomain()], p)
 		}
 	}
+	return relays
 }
 
-// encodeDigests returns datagrams with the given beacons.
-func (b *Beaconer) encodeDigests(list []*schema.Relayed, forGroup bool) [][]byte {
-	var digests [][]byte
-	for len(list) > 0 {
-		size, n := 0, 0
-		for n < len(list) && (n == 0 || size+proto.Size(list[n]) <= maxDigestBytes) {
-			size += proto.Size(list[n])
-			n++
+// carrier returns the relay of another failure domain that receives the beacons of the group
+// for all relays there, or nil if each is to receive them itself. Two take turns, so that while
+// one is lost, the domain still receives every other beacon.
+func (b *Beaconer) carrier(domain string, relays []*peer) *peer {
+	if domain == b.self.GetDomain() || len(relays) < minCarriedRelays {
+		return nil
+	}
+	now := time.Now()
+	var candidates []*peer
+	for _, p := range relays {
+		if !b.packsFor(p) {
+			return nil
+		}
+		if !b.isMissing(p, now) {
+			candidates = append(candidates, p)
 		}
-		digests = append(digests, b.encode(&schema.Beacon{Relay: forGroup, Relayed: list[:n]}))
-		list = list[n:]
 	}
-	return digests
+	if len(candidates) < carriers {
+		return nil
+	}
+	slices.SortFunc(candidates, func(x, y *peer) int {
+		return cmp.Compare(xxhash.Sum64String(b.name+x.member.GetName()), xxhash.Sum64String(b.name+y.member.GetName()))
+	})
+	return candidates[b.ticks%carriers]
 }
--- a/beaconer/table.go
+++ b/beaconer/table.go
@@ -50,6 +50,9 @@
 		return
 	}
 	previous := p.member
+	if beacon.GetDelta() {
+		restoreEndpoints(m, previous)
+	}
 	b.dirty = b.dirty || len(b.peers) < relayThreshold || p.silent || isChanged(previous, m)
 	sameIncarnation := previous != nil && previous.GetIncarnation() == m.GetIncarnation()
 	if previous != nil && !sameIncarnation {
@@ -64,7 +67,7 @@
 	p.lastBeacon.Store(int64(time.Since(b.started)))
 	if !sameIncarnation {
 		b.number++
-		b.transport.Send(p.address, b.encodeBeacon(beaconOptions{withRemarks: true}))
+		b.send(p, beaconBytes, b.encodeBeacon(beaconOptions{withRemarks: true}))
 	}
 	p.silent = false
 	for _, l := range b.listeners {
@@ -89,7 +92,8 @@
 // and the usages, since readers in other goroutines hold the present ones.
 func (p *peer) applyDelta(m *schema.Member, beacon *schema.Beacon) {
 	m.Address, m.Admin, m.Beacon = p.member.GetAddress(), p.member.GetAdmin(), p.member.GetBeacon()
-	m.Domain, m.Region, m.Digests = p.member.GetDomain(), p.member.GetRegion(), p.member.GetDigests()
+	m.Domain, m.Region = p.member.GetDomain(), p.member.GetRegion()
+	m.Digests, m.Packs = p.member.GetDigests(), p.member.GetPacks()
 	p.member = m
 	if len(beacon.GetUsages()) == 0 {
 		return
