Leave out of calls between nodes what the peer knows

Envelopes and reports were base64, attempt ids held the name of the node, and an answer repeated the identity of the upstream, the request ID, and a date and a type that net/http added; a refusal had a body that no node reads. Nodes that state Member.packs now exchange compact headers; others are called as before. Attempt ids are a hash of name and incarnation, and a number.

The mesh of the tests uses compact headers; the former ones are covered by TestBytesOfCall and the tests that send envelopes of their own.

--- a/forwarder/dispatcher.go
+++ b/forwarder/dispatcher.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"quetzalhub/balancer"
@@ -33,6 +34,9 @@
 	Alive(name string) bool
 }
 
+// nodeHost is the Host header of requests between nodes.
+const nodeHost = "node"
+
 // Reasons for sending a call again: keys of the retry counters and values in
 // "resent" events.
 const (
@@ -298,7 +302,8 @@
 func (d *Dispatcher) newAttempt(call *Call, target *balancer.Target) *attempt {
 	name, incarnation := d.identity.Identity()
 	number := d.attemptCount.Add(1)
-	id := name + "/" + strconv.FormatUint(incarnation, 36) + "/" + strconv.FormatUint(number, 36)
+	sender := xxhash.Sum64String(name + "/" + strconv.FormatUint(incarnation, 36))
+	id := strconv.FormatUint(sender, 36) + "/" + strconv.FormatUint(number, 36)
 	a := &attempt{id: id, target: target, call: call, sent: time.Now()}
 	if call.Retryable {
 		a.delegatedRetries = call.Parent.Budget.Delegate()
@@ -333,14 +338,24 @@
 		envelope.Objective = durationpb.New(call.Route.TargetLatency)
 	}
 	header := maps.Clone(call.Header)
-	header[HeaderEnvelope] = []string{encodeHeader(envelope)}
-	header[headerMethod] = []string{call.Method}
+	if a.target.Member.GetPacks() {
+		envelope.Method = call.Method
+		header[HeaderEnvelope] = []string{encodeCompact(envelope)}
+	} else {
+		header[HeaderEnvelope] = []string{encodeHeader(envelope)}
+		header[headerMethod] = []string{call.Method}
+	}
 	if envelope.Digest != nil {
 		// The receiver asks for the body once the call runs, so that it can be sent elsewhere
 		// if it does not.
 		header["Expect"] = []string{"100-continue"}
 	}
-	return newRequest(ctx, nodeMethod(call.Method), call.URL, a.target.Member.GetAddress(), header, call.Body)
+	req := newRequest(ctx, nodeMethod(call.Method), call.URL, a.target.Member.GetAddress(), header, call.Body)
+	if a.target.Member.GetPacks() {
+		// HTTP requires a host, but the receiver takes that of the envelope.
+		req.Host = nodeHost
+	}
+	return req
 }
 
 // nodeMethod returns the method of the request between nodes that carries a request of a
@@ -371,6 +386,7 @@
 		a.target.Done(balancer.Unreachable, latency)
 		return nil, true, &refuser.Error{Code: refuser.ReceiverUnclear}
 	}
+	restoreEndpoint(report.GetEndpoint(), a.call.Service, a.target.Member)
 	a.target.RecordLoad(report.GetEndpoint())
 	d.recordReport(a.call, report)
 	parent := a.call.Parent
--- a/forwarder/header.go
+++ b/forwarder/header.go
@@ -144,10 +144,60 @@
 }
 
 func decodeHeader(text string, m proto.Message) bool {
+	if isCompact(text) {
+		return decodeCompact(text, m)
+	}
 	data, err := base64.RawStdEncoding.DecodeString(text)
 	return err == nil && proto.Unmarshal(data, m) == nil
 }
 
+// Compact headers hold a message as bytes that a header may contain, in place of base64. They
+// begin with compactMark, which is also the escape character.
+const (
+	compactMark = '='
+	// compactShift moves the small bytes, which are frequent in messages, out of the range of
+	// control characters.
+	compactShift  = 42
+	compactEscape = 64
+)
+
+// isCompact reports whether a header is compact.
+func isCompact(text string) bool { return strings.HasPrefix(text, string(compactMark)) }
+
+// encodeCompact encodes a message as a compact header.
+func encodeCompact(m proto.Message) string {
+	data, err := proto.Marshal(m)
+	if err != nil {
+		return ""
+	}
+	text := make([]byte, 1, len(data)+len(data)/8+1)
+	text[0] = compactMark
+	for _, b := range data {
+		if b += compactShift; b <= ' ' || b == 0x7f || b == compactMark {
+			text = append(text, compactMark)
+			b += compactEscape
+		}
+		text = append(text, b)
+	}
+	return string(text)
+}
+
+// decodeCompact decodes a compact header.
+func decodeCompact(text string, m proto.Message) bool {
+	data := make([]byte, 0, len(text))
+	for i := 1; i < len(text); i++ {
+		b := text[i]
+		if b == compactMark {
+			if i++; i == len(text) {
+				return false
+			}
+			b = text[i] - compactEscape
+		}
+		data = append(data, b-compactShift)
+	}
+	return proto.Unmarshal(data, m) == nil
+}
+
 func decodeReport(h http.Header) *schema.Report {
 	report := &schema.Report{}
 	if text := h.Get(headerReport); text == "" || !decodeHeader(text, report) {
--- a/forwarder/mesh_test.go
+++ b/forwarder/mesh_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,6 +48,8 @@
 	account   func() *accountant.Accountant
 	// timeout is the time that a request may take. Zero means 5 s.
 	timeout time.Duration
+	// unpacked nodes neither send nor accept compact envelopes.
+	unpacked bool
 	// admissionDelay is the time for which each request waits for a token.
 	admissionDelay time.Duration
 
@@ -227,7 +230,7 @@
 	members := map[string]*schema.Member{}
 	for _, n := range m.nodes {
 		members[n.name] = &schema.Member{
-			Name: n.name, Address: n.address(), Domain: "a", Region: "main", Incarnation: 1,
+			Name: n.name, Address: n.address(), Domain: "a", Region: "main", Incarnation: 1, Packs: !m.unpacked,
 			Status:    schema.Status_STATUS_ALIVE,
 			Endpoints: []*schema.Endpoint{{Service: n.service, Phase: schema.Phase_PHASE_READY}},
 		}
@@ -318,6 +321,8 @@
 	requestLimit, responseLimit int
 	// silent keeps connections open without relaying data.
 	silent bool
+	// passed counts the bytes relayed in both directions.
+	passed atomic.Int64
 }
 
 func (m *mesh) newLink(n *node) *link {
@@ -379,6 +384,7 @@
 			return
 		}
 		passed += n
+		l.passed.Add(int64(n))
 		if _, failed := to.Write(buffer[:n]); failed != nil || err != nil {
 			return
 		}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -130,6 +130,8 @@
 // relayCall is the state of a call from another node.
 type relayCall struct {
 	envelope *schema.Envelope
+	// compact is true if the sender accepts compact reports.
+	compact  bool
 	request  *tracker.Request
 	body     Body
 	loan     *accountant.Loan
@@ -151,10 +153,14 @@
 // response header states whether the call has run.
 func (r *Relay) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	rc := &relayCall{envelope: &schema.Envelope{}}
-	if !decodeHeader(req.Header.Get(HeaderEnvelope), rc.envelope) {
+	text := req.Header.Get(HeaderEnvelope)
+	if !decodeHeader(text, rc.envelope) {
 		r.options.Refuser.Refuse(w, refuser.BadRequest, refuser.Detail{Note: "The envelope header is missing or malformed."})
 		return
 	}
+	if rc.compact = isCompact(text); rc.compact {
+		req.Header[headerMethod] = []string{rc.envelope.GetMethod()}
+	}
 	r.options.Dialect.SetResponseHeaders(w.Header(), rc.requestID())
 	if code := r.accept(rc); code != refuser.None {
 		r.refuse(w, rc, code)
@@ -390,7 +396,7 @@
 	report := r.report(rc)
 	report.Outcome = schema.Outcome_OUTCOME_ANSWERED
 	response := &Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength, Report: report}
-	w.Header().Set(headerReport, encodeHeader(report))
+	r.setReport(w.Header(), resp.Header, rc, report)
 	rc.loan.Take(responseBytes(response))
 	defer limitWrites(w, response, rc.request.Deadline)()
 	writeResponse(w, response)
@@ -422,7 +428,10 @@
 		"code", uint32(code), "reason", code.Info().Name, "service", rc.envelope.GetService(), "upstream", rc.upstream.ID,
 		"left", rc.envelope.GetLeft().AsDuration(), "offered", rc.offered,
 		"active", report.GetEndpoint().GetActive(), "queued", report.GetEndpoint().GetQueued(), "limit", report.GetEndpoint().GetLimit())
-	w.Header().Set(headerReport, encodeHeader(report))
+	r.setReport(w.Header(), nil, rc, report)
+	if rc.compact {
+		w = headWriter{w}
+	}
 	r.options.Refuser.Refuse(w, code, refuser.Detail{Request: rc.requestID()})
 }
 
