--- a/attacher/module.go
+++ b/attacher/module.go
@@ -32,6 +32,7 @@
 	"quetzalhub/throttler"
 	"quetzalhub/tracker"
 	"quetzalhub/transporter"
+	"quetzalhub/util/meter"
 	"quetzalhub/witness"
 )
 
@@ -217,6 +218,22 @@
 	return f
 }
 
+// counter returns a function that returns the counter of bytes for connections to an address. A
+// node that is not known counts as one of another failure domain.
+func (f *fleet) counter(rec *recorder.Recorder, kind string) meter.Counter {
+	return func(address string) func(bytes int) {
+		own := false
+		name, _ := f.beaconer.Identity()
+		view := f.beaconer.View()
+		for _, m := range view.Members {
+			if m.GetAddress() == address {
+				own = m.GetDomain() == view.Members[name].GetDomain()
+			}
+		}
+		return rec.CountPeerBytes(kind, own)
+	}
+}
+
 // quotaAllowance reads how far usage may exceed a quota from the settings.
 func quotaAllowance(s *schema.Settings) allocator.Allowance {
 	b := s.GetBounds()
@@ -349,12 +366,13 @@
 	requestTracker := &tracker.Tracker{Fanout: f.estimator.Fanout}
 	account := accountant.New(int64(s.GetBounds().GetMemory()) << 20 * int64(settings.GetShare()) / 100)
 	rec.Publish("bodies", func() any { return account.Usage() })
+	cl.CountBytes(f.counter(rec, "control"))
 	dispatcher := forwarder.NewDispatcher(forwarder.DispatcherOptions{
 		Identity:       f.beaconer,
 		Picker:         f.balancer,
 		RetryThrottler: throttler.New(retryBudget(s), f.estimator, f.allocator),
 		Checker:        &attemptChecker{cl, f.beaconer},
-		Transport:      transporter.New(nil, transporter.UserTimeout(unackedTimeout)),
+		Transport:      transporter.New(nil, transporter.UserTimeout(unackedTimeout), transporter.Count(f.counter(rec, "calls"))),
 		CheckInterval:  attemptCheckInterval,
 		RetryCounts:    rec.Retries,
 		MaxFreeRetries: maxFreeRetries,
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"net"
 	"net/http"
 	"time"
 
@@ -19,6 +20,7 @@
 
 	"quetzalhub/gossiper"
 	"quetzalhub/schema"
+	"quetzalhub/util/meter"
 )
 
 const (
@@ -62,6 +64,8 @@
 	unpooled *http.Client
 	fetches  chan string
 	syncs    chan string
+	// pooledTransport and unpooledTransport make the connections of client and unpooled.
+	pooledTransport, unpooledTransport *http.Transport
 }
 
 // New returns a caller for the named node. A nil config means plaintext
@@ -74,14 +78,28 @@
 		scheme = "https://"
 	}
 	return &Caller{
-		name:      name,
-		confirmer: c,
-		local:     l,
-		scheme:    scheme,
-		client:    &http.Client{Transport: boundedTransport{pooled}},
-		unpooled:  &http.Client{Transport: boundedTransport{unpooled}},
-		fetches:   make(chan string, maxQueuedPulls),
-		syncs:     make(chan string, maxQueuedPulls),
+		name:            name,
+		confirmer:       c,
+		local:           l,
+		scheme:          scheme,
+		client:          &http.Client{Transport: boundedTransport{pooled}},
+		unpooled:        &http.Client{Transport: boundedTransport{unpooled}},
+		pooledTransport: pooled, unpooledTransport: unpooled,
+		fetches: make(chan string, maxQueuedPulls),
+		syncs:   make(chan string, maxQueuedPulls),
+	}
+}
+
+// CountBytes counts the bytes of connections. It must be called before the first call.
+func (c *Caller) CountBytes(counter meter.Counter) {
+	for _, t := range []*http.Transport{c.pooledTransport, c.unpooledTransport} {
+		t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := new(net.Dialer).DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return meter.Wrap(conn, counter(address)), nil
+		}
 	}
 }
 
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -25,6 +25,9 @@
 	Retries *expvar.Map
 	// Gossip counts the datagrams and bytes of gossip.
 	Gossip *expvar.Map
+	// PeerBytes counts the bytes of connections that this node has opened to others, in both
+	// directions, by kind and failure domain.
+	PeerBytes *expvar.Map
 	// Requests measures the time from a caller's request to its response, Queue
 	// the time in the queue for the upstream, and Upstream the response time of
 	// the upstream.
@@ -41,6 +44,7 @@
 		PeerRefusals: new(expvar.Map),
 		Retries:      new(expvar.Map),
 		Gossip:       new(expvar.Map),
+		PeerBytes:    new(expvar.Map),
 		Requests:     newTimer(),
 		Queue:        newTimer(),
 		Upstream:     newTimer(),
@@ -52,6 +56,7 @@
 	r.root.Set("calls_refused", r.PeerRefusals)
 	r.root.Set("retries", r.Retries)
 	r.root.Set("gossip", r.Gossip)
+	r.root.Set("peer_bytes", r.PeerBytes)
 	r.Publish("goroutines", func() any { return runtime.NumGoroutine() })
 	r.Publish("heap_bytes", heapBytes)
 	return r
@@ -63,6 +68,15 @@
 	return m.HeapAlloc
 }
 
+// CountPeerBytes returns a counter of PeerBytes. own is true for nodes of the own failure domain.
+func (r *Recorder) CountPeerBytes(kind string, own bool) func(bytes int) {
+	key := kind + "_across"
+	if own {
+		key = kind + "_own"
+	}
+	return func(bytes int) { r.PeerBytes.Add(key, int64(bytes)) }
+}
+
 // Publish adds a metric whose value is computed on each read.
 func (r *Recorder) Publish(name string, value func() any) {
 	r.root.Set(name, expvar.Func(value))
--- a/transporter/options.go
+++ b/transporter/options.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"syscall"
 	"time"
+
+	"quetzalhub/util/meter"
 )
 
 // Option configures a Transporter.
@@ -16,6 +18,11 @@
 	return func(t *Transporter) { t.accept = match }
 }
 
+// Count counts the bytes of connections.
+func Count(c meter.Counter) Option {
+	return func(t *Transporter) { t.counter = c }
+}
+
 // tcpUserTimeout is the socket option TCP_USER_TIMEOUT, which package syscall
 // does not name.
 const tcpUserTimeout = 18
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -35,6 +35,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"quetzalhub/util/meter"
 )
 
 const (
@@ -86,6 +88,8 @@
 	// userTimeout is set by the option UserTimeout.
 	userTimeout time.Duration
 	accept      func(*http.Request, *http.Response) bool
+	// counter is set by the option Count.
+	counter meter.Counter
 
 	mu   sync.Mutex
 	idle map[string][]*connection
@@ -226,14 +230,19 @@
 			return nil, err
 		}
 	}
-	input := &cappedReader{source: raw}
+	// The connection itself is kept for its socket options.
+	stream := raw
+	if t.counter != nil {
+		stream = meter.Wrap(raw, t.counter(address))
+	}
+	input := &cappedReader{source: stream}
 	return &connection{
 		Conn:    raw,
 		owner:   t,
 		address: address,
 		input:   input,
 		reader:  bufio.NewReaderSize(input, bufferSize),
-		writer:  bufio.NewWriterSize(raw, bufferSize),
+		writer:  bufio.NewWriterSize(stream, bufferSize),
 	}, nil
 }
 
