Send whole beacons to nodes that have just started

A node of another domain that lost the first beacon had to wait for the next whole one. Control calls no longer carry a date and an encoding that nobody reads.

--- a/attacher/node.go
+++ b/attacher/node.go
@@ -189,6 +189,8 @@
 			n.parts.Traffic.relay.ServeHTTP(w, r)
 			return
 		}
+		// Nodes don't read the date.
+		w.Header()["Date"] = nil
 		control.ServeHTTP(w, r)
 	})
 }
--- a/beaconer/beaconer.go
+++ b/beaconer/beaconer.go
@@ -322,7 +322,7 @@
 // takesDeltas reports whether a node is sent deltas while beacons are not relayed: those of
 // other failure domains, where bytes cost more.
 func (b *Beaconer) takesDeltas(p *peer) bool {
-	return b.packsFor(p) && p.member.GetDomain() != b.self.GetDomain()
+	return b.packsFor(p) && b.number > p.wholeUntil && p.member.GetDomain() != b.self.GetDomain()
 }
 
 // isMissing reports whether a node should have sent a beacon that has not arrived. It
--- a/beaconer/table.go
+++ b/beaconer/table.go
@@ -32,6 +32,9 @@
 	silent bool
 	// directUntil is the time until which the node receives beacons directly.
 	directUntil time.Time
+	// wholeUntil is the number of the last beacon that is sent to the node whole after its
+	// start, while deltas would have nothing to refer to if one is lost.
+	wholeUntil uint64
 	usages      []*schema.Usage
 }
 
@@ -67,6 +70,7 @@
 	p.lastBeacon.Store(int64(time.Since(b.started)))
 	if !sameIncarnation {
 		b.number++
+		p.wholeUntil = b.number + directFullEvery
 		b.send(p, beaconBytes, b.encodeBeacon(beaconOptions{withRemarks: true}))
 	}
 	p.silent = false
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -71,8 +71,8 @@
 // New returns a caller for the named node. A nil config means plaintext
 // connections.
 func New(name string, c Confirmer, l Local, config *tls.Config) *Caller {
-	pooled := &http.Transport{TLSClientConfig: config, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: MaxHeadBytes}
-	unpooled := &http.Transport{TLSClientConfig: config, DisableKeepAlives: true, MaxResponseHeaderBytes: MaxHeadBytes}
+	pooled := &http.Transport{DisableCompression: true, TLSClientConfig: config, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: MaxHeadBytes}
+	unpooled := &http.Transport{DisableCompression: true, TLSClientConfig: config, DisableKeepAlives: true, MaxResponseHeaderBytes: MaxHeadBytes}
 	scheme := "http://"
 	if config != nil {
 		scheme = "https://"
