Take an envelope that a node could not read for a call that has not run

While a node is replaced by one of an earlier release, others send it compact envelopes until its first beacon arrives. It refuses them with 400 and without a report, which counted as an unknown outcome. Relays pass on packed entries without shortening them again.

Result: TestReturnToEarlierRelease got 502 in both cases before. Tests of forwarder and beaconer pass.

--- a/beaconer/beaconer.go
+++ b/beaconer/beaconer.go
@@ -366,10 +366,11 @@
 	if err := proto.Unmarshal(datagram, beacon); err != nil {
 		return
 	}
+	relayed := beacon.GetRelayed()
 	if packed := beacon.GetPacked(); len(packed) > 0 {
-		b.handleDigest(b.relay.packer.unpack(packed), beacon)
+		relayed = b.relay.packer.unpack(packed)
 	}
-	b.handleDigest(beacon.GetRelayed(), beacon)
+	b.handleDigest(relayed, beacon)
 	m := beacon.GetMember()
 	if m.GetName() == "" || m.GetName() == b.name {
 		return
--- a/beaconer/beaconer_test.go
+++ b/beaconer/beaconer_test.go
@@ -38,6 +38,7 @@
 	// domains is the number of failure domains, and loaded is true if the nodes are under load.
 	domains int
 	loaded  bool
+	pooled  bool
 	// unpacked nodes neither send nor accept packed beacons.
 	unpacked func(i int) bool
 	// latest holds the last datagram sent from each address, for replays.
@@ -118,7 +119,10 @@
 }
 
 func (n *node) Usages() []*schema.Usage {
-	if n.net.loaded {
+	switch {
+	case n.net.pooled:
+		return nil
+	case n.net.loaded:
 		return n.load.usages()
 	}
 	return n.net.usages
--- a/beaconer/cost_test.go
+++ b/beaconer/cost_test.go
@@ -78,6 +78,8 @@
 type cost struct {
 	size, domains        int
 	own, across, busiest float64
+	// pooled is true if the rates of workspaces are pooled, so that nodes report no usage.
+	pooled bool
 }
 
 // TestCostByDomain guards against nodes that tell others more than these need: bytes between
@@ -89,7 +91,7 @@
 				g := NewWithT(t)
 				nw := newNetwork()
 				defer nw.stopAll()
-				nw.domains, nw.loaded = c.domains, true
+				nw.domains, nw.loaded, nw.pooled = c.domains, true, c.pooled
 				nodes := nw.startFleet(c.size)
 				time.Sleep(max(8*time.Second, time.Duration(c.size)*60*time.Millisecond))
 				before := make([]cost, c.size)
--- a/beaconer/relay.go
+++ b/beaconer/relay.go
@@ -194,36 +194,39 @@
 	b.scheduleFlush()
 }
 
-// handleRelayed handles the beacon of another node, and keeps it for the group if another
-// relay has sent it. It returns the entry to pass on, or nil.
-func (b *Beaconer) handleRelayed(r *schema.Relayed, forGroup bool) *schema.Relayed {
+// handleRelayed handles the beacon of another node. It reports whether to pass it on, if another
+// relay asks for that.
+func (b *Beaconer) handleRelayed(r *schema.Relayed, forGroup bool) bool {
 	incarnation := b.fullIncarnation(r)
 	if r.GetNode() == b.name {
 		if incarnation == b.incarnation {
 			b.relay.returnedAt = time.Now()
 		}
-		return nil
+		return false
 	}
 	p := b.peers[r.GetNode()]
 	if p == nil || !p.isOutdated(incarnation, r.GetNumber()) {
 		beacon := b.decodeRelayed(r)
 		if beacon == nil {
-			return nil
+			return false
 		}
 		b.applyBeacon(beacon.GetMember(), beacon)
 	}
-	if !forGroup || !b.takesForRelay(r.GetNode(), incarnation, r.GetNumber()) {
-		return nil
-	}
-	return shorten(r)
+	return forGroup && b.takesForRelay(r.GetNode(), incarnation, r.GetNumber())
 }
 
 // handleDigest handles the relayed beacons of a datagram.
 func (b *Beaconer) handleDigest(list []*schema.Relayed, datagram *schema.Beacon) {
 	var taken []*schema.Relayed
 	for _, r := range list {
-		if entry := b.handleRelayed(r, datagram.GetRelay()); entry != nil {
-			taken = append(taken, entry)
+		if !b.handleRelayed(r, datagram.GetRelay()) {
+			continue
+		}
+		if len(datagram.GetPacked()) == 0 {
+			r = shorten(r)
+		}
+		if r != nil {
+			taken = append(taken, r)
 		}
 	}
 	if len(taken) == 0 {
--- a/beaconer/table.go
+++ b/beaconer/table.go
@@ -35,7 +35,7 @@
 	// wholeUntil is the number of the last beacon that is sent to the node whole after its
 	// start, while deltas would have nothing to refer to if one is lost.
 	wholeUntil uint64
-	usages      []*schema.Usage
+	usages     []*schema.Usage
 }
 
 // applyBeacon updates the entry of a node. It ignores a beacon that is outdated, and a delta
--- a/forwarder/compact.go
+++ b/forwarder/compact.go
@@ -1,12 +1,18 @@
 package forwarder
 
 import (
+	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 
+	"quetzalhub/refuser"
 	"quetzalhub/schema"
 )
 
+// maxProblemBytes is the largest size of a refusal that is read.
+const maxProblemBytes = 4 << 10
+
 // setReport sets the report on a response to another node, given the header of the response of
 // the upstream, if any. A compact one leaves out what the sender of the call knows or sets itself,
 // and what net/http would add.
@@ -56,6 +62,17 @@
 	}
 }
 
+// envelopeUnread reports whether a node has refused a call since it could not read the envelope. A
+// node of an earlier release may have started at the address.
+func envelopeUnread(resp *http.Response) bool {
+	if resp.StatusCode != http.StatusBadRequest || resp.Header.Get("Content-Type") != refuser.ContentType {
+		return false
+	}
+	problem := refuser.Problem{}
+	err := json.NewDecoder(io.LimitReader(resp.Body, maxProblemBytes)).Decode(&problem)
+	return err == nil && problem.Code == refuser.BadRequest
+}
+
 // headWriter leaves out the body of a refusal, which other nodes don't read: the report has the
 // code.
 type headWriter struct{ http.ResponseWriter }
--- a/forwarder/compact_test.go
+++ b/forwarder/compact_test.go
@@ -1,6 +1,7 @@
 package forwarder_test
 
 import (
+	"expvar"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -13,6 +14,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"quetzalhub/forwarder"
+	"quetzalhub/refuser"
 	"quetzalhub/schema"
 )
 
@@ -130,3 +132,41 @@
 		})
 	}
 }
+
+// TestReturnToEarlierRelease guards against requests with an unknown outcome while a node is
+// replaced by one of an earlier release: it can't read the envelope of a call, which has not run.
+func TestReturnToEarlierRelease(t *testing.T) {
+	cases := map[string]struct {
+		nodes, status int
+	}{
+		"the only node":    {1, http.StatusServiceUnavailable},
+		"one of two nodes": {2, http.StatusOK},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			m := newMesh(t)
+			m.addRoute("orders", false)
+			m.addNode("entry", echo(newRunCounter()))
+			runs := newRunCounter()
+			for range c.nodes {
+				m.addNode("orders", echo(runs))
+			}
+			replaced := m.nodes[1].peers.Config
+			relay := replaced.Handler
+			replaced.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if strings.HasPrefix(r.Header.Get("Quetzal-Envelope"), "=") {
+					refuser.New(new(expvar.Map)).Refuse(w, refuser.BadRequest, refuser.Detail{Note: "The envelope header is missing or malformed."})
+					return
+				}
+				relay.ServeHTTP(w, r)
+			})
+			m.join()
+			for i := range 20 {
+				resp := m.request(http.MethodPost, "/orders/1", fmt.Sprint("order-", i), "")
+				g.Expect(resp.status).To(Equal(c.status))
+				g.Expect(runs.count(fmt.Sprint("order-", i))).To(Equal(c.nodes - 1))
+			}
+		})
+	}
+}
--- a/forwarder/dispatcher.go
+++ b/forwarder/dispatcher.go
@@ -381,8 +381,13 @@
 	report := decodeReport(resp.Header)
 	latency := time.Since(a.sent)
 	if report == nil {
+		unread := a.target.Member.GetPacks() && envelopeUnread(resp)
 		resp.Body.Close()
 		cancel()
+		if unread {
+			a.target.Done(balancer.Refused, latency)
+			return nil, false, &refuser.Error{Code: refuser.IncarnationChanged}
+		}
 		a.target.Done(balancer.Unreachable, latency)
 		return nil, true, &refuser.Error{Code: refuser.ReceiverUnclear}
 	}
