--- a/beaconer/beaconer.go
+++ b/beaconer/beaconer.go
@@ -368,7 +368,7 @@
 	}
 	relayed := beacon.GetRelayed()
 	if packed := beacon.GetPacked(); len(packed) > 0 {
-		relayed = b.relay.packer.unpack(packed)
+		relayed = unpack(packed)
 	}
 	b.handleDigest(relayed, beacon)
 	m := beacon.GetMember()
--- a/beaconer/pack.go
+++ b/beaconer/pack.go
@@ -1,9 +1,6 @@
 package beaconer
 
 import (
-	"bytes"
-	"compress/flate"
-	"io"
 	"math"
 	"slices"
 	"time"
@@ -12,6 +9,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"quetzalhub/schema"
+	"quetzalhub/util/squeezer"
 )
 
 const (
@@ -27,49 +25,20 @@
 	durationStep     = 1 << 14 * time.Nanosecond
 )
 
-// packer compresses relayed beacons.
-type packer struct {
-	writer *flate.Writer
-	reader io.ReadCloser
-	buffer bytes.Buffer
-}
-
-// pack compresses relayed beacons that are shortened.
-func (k *packer) pack(list []*schema.Relayed) ([]byte, error) {
+// pack compresses shortened beacons.
+func pack(list []*schema.Relayed) ([]byte, error) {
 	data, err := proto.Marshal(&schema.Pack{Relayed: list})
 	if err != nil {
 		return nil, err
 	}
-	k.buffer.Reset()
-	if k.writer == nil {
-		if k.writer, err = flate.NewWriter(&k.buffer, flate.BestSpeed); err != nil {
-			return nil, err
-		}
-	}
-	k.writer.Reset(&k.buffer)
-	if _, err := k.writer.Write(data); err != nil {
-		return nil, err
-	}
-	if err := k.writer.Close(); err != nil {
-		return nil, err
-	}
-	return bytes.Clone(k.buffer.Bytes()), nil
+	return squeezer.Squeeze(data), nil
 }
 
-// unpack returns the relayed beacons of a Pack, or none if it is malformed.
-func (k *packer) unpack(packed []byte) []*schema.Relayed {
-	source := bytes.NewReader(packed)
-	if k.reader == nil {
-		k.reader = flate.NewReader(source)
-	} else if err := k.reader.(flate.Resetter).Reset(source, nil); err != nil {
-		return nil
-	}
-	k.buffer.Reset()
-	if _, err := k.buffer.ReadFrom(io.LimitReader(k.reader, maxUnpackedBytes)); err != nil {
-		return nil
-	}
+// unpack returns the shortened beacons of a Pack, or none if it is malformed.
+func unpack(packed []byte) []*schema.Relayed {
 	p := &schema.Pack{}
-	if proto.Unmarshal(k.buffer.Bytes(), p) != nil {
+	data, ok := squeezer.Expand(packed, maxUnpackedBytes)
+	if !ok || proto.Unmarshal(data, p) != nil {
 		return nil
 	}
 	return p.GetRelayed()
@@ -217,7 +186,7 @@
 func (b *Beaconer) encodePacks(list []*schema.Relayed, h digestHeader) [][]byte {
 	var datagrams [][]byte
 	for chunk := range slices.Chunk(list, maxPackedEntries) {
-		packed, err := b.relay.packer.pack(chunk)
+		packed, err := pack(chunk)
 		if err != nil {
 			continue
 		}
--- a/beaconer/relay.go
+++ b/beaconer/relay.go
@@ -71,7 +71,6 @@
 	// group and foreign hold shortened beacons to pass on: those of the group go to the
 	// group and to other relays, those of other groups to the group.
 	group, foreign []*schema.Relayed
-	packer         packer
 	// flushTimer runs while flushScheduled is true.
 	flushTimer     *time.Timer
 	flushScheduled bool
