--- a/forwarder/compact_test.go
+++ b/forwarder/compact_test.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -61,14 +62,19 @@
 // the same effect, also beside a node of a release without compact headers.
 func TestBytesOfCall(t *testing.T) {
 	cases := map[string]struct {
+		method, body       string
 		unpacked, draining bool
 		status             int
 		bound              int64
 	}{
-		"call":                     {false, false, 200, 360},
-		"call, earlier release":    {true, false, 200, 540},
-		"refusal":                  {false, true, 503, 340},
-		"refusal, earlier release": {true, true, 503, 700},
+		"call":                     {"PUT", "body", false, false, 200, 360},
+		"call, earlier release":    {"PUT", "body", true, false, 200, 540},
+		"GET":                      {"GET", "", false, false, 200, 330},
+		"GET, earlier release":     {"GET", "", true, false, 200, 540},
+		"GET with a body":          {"GET", "body", false, false, 200, 360},
+		"POST without a body":      {"POST", "", false, false, 200, 360},
+		"refusal":                  {"PUT", "body", false, true, 503, 340},
+		"refusal, earlier release": {"PUT", "body", true, true, 503, 700},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -80,20 +86,21 @@
 			n := m.addNode("orders", func(string) http.Handler {
 				return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 					w.Header()["Date"], w.Header()["Content-Type"] = nil, nil
-					_, _ = fmt.Fprint(w, r.Method, r.URL, r.Header.Get("X-Id"))
+					body, _ := io.ReadAll(r.Body)
+					_, _ = fmt.Fprintf(w, "%s%s%s%s", r.Method, r.URL, r.Header.Get("X-Id"), body)
 				})
 			})
 			n.draining = c.draining
 			l := m.newLink(n)
 			m.join()
-			m.request(http.MethodPut, "/orders/1", "first", "body")
+			m.request(c.method, "/orders/1", "first", c.body)
 			before := l.passed.Load()
 			const calls = 10
 			for range calls {
-				resp := m.request(http.MethodPut, "/orders/1", "x-1", "body")
+				resp := m.request(c.method, "/orders/1", "x-1", c.body)
 				g.Expect(resp.status).To(Equal(c.status))
 				if c.status == http.StatusOK {
-					g.Expect(resp.body).To(Equal("PUT/orders/1x-1"))
+					g.Expect(resp.body).To(Equal(c.method + "/orders/1x-1" + c.body))
 				}
 			}
 			each := (l.passed.Load() - before) / calls
--- a/forwarder/dispatcher.go
+++ b/forwarder/dispatcher.go
@@ -338,8 +338,15 @@
 		envelope.Objective = durationpb.New(call.Route.TargetLatency)
 	}
 	header := maps.Clone(call.Header)
+	method := nodeMethod(call.Method)
 	if a.target.Member.GetPacks() {
-		envelope.Method = call.Method
+		if call.Method == http.MethodGet && call.Body.length == 0 {
+			// A POST would state the length of its body.
+			method = http.MethodGet
+		}
+		if call.Method != method {
+			envelope.Method = call.Method
+		}
 		header[HeaderEnvelope] = []string{encodeCompact(envelope)}
 	} else {
 		header[HeaderEnvelope] = []string{encodeHeader(envelope)}
@@ -350,7 +357,7 @@
 		// if it does not.
 		header["Expect"] = []string{"100-continue"}
 	}
-	req := newRequest(ctx, nodeMethod(call.Method), call.URL, a.target.Member.GetAddress(), header, call.Body)
+	req := newRequest(ctx, method, call.URL, a.target.Member.GetAddress(), header, call.Body)
 	if a.target.Member.GetPacks() {
 		// HTTP requires a host, but the receiver takes that of the envelope.
 		req.Host = nodeHost
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -159,7 +160,7 @@
 		return
 	}
 	if rc.compact = isCompact(text); rc.compact {
-		req.Header[headerMethod] = []string{rc.envelope.GetMethod()}
+		req.Header[headerMethod] = []string{cmp.Or(rc.envelope.GetMethod(), req.Method)}
 	}
 	r.options.Dialect.SetResponseHeaders(w.Header(), rc.requestID())
 	if code := r.accept(rc); code != refuser.None {
