--- a/attacher/node.go
+++ b/attacher/node.go
@@ -82,6 +82,7 @@
 	n := &Node{parts: p, connections: newConnectionLimiter(p.Settings.GetBounds().GetFiles(), idleTimeout(p.Confirmer))}
 	p.Recorder.Publish("state_version", func() any { return p.Confirmer.Version() })
 	p.Recorder.Publish("members_live", func() any { return p.Fleet.beaconer.View().LiveCount() })
+	p.Recorder.Publish("beacon_bytes", func() any { return p.Fleet.beaconer.SentBytes() })
 	p.Recorder.Publish("upstream", func() any { return p.Supervisor.Endpoints() })
 	p.Recorder.Publish("shares", func() any { return p.Fleet.shedder.Shares() })
 	p.Recorder.Publish("cold", func() any { return p.Traffic.rationer.Budgets() })
@@ -193,6 +194,8 @@
 			n.parts.Traffic.relay.ServeHTTP(w, r)
 			return
 		}
+		// Nodes don't read the date.
+		w.Header()["Date"] = nil
 		control.ServeHTTP(w, r)
 	})
 }
--- a/beaconer/beaconer_test.go
+++ b/beaconer/beaconer_test.go
@@ -35,6 +35,12 @@
 	bytes int
 	// usages is reported by all nodes; it is one small entry unless set.
 	usages []*schema.Usage
+	// domains is the number of failure domains, and loaded is true if the nodes are under load.
+	domains int
+	loaded  bool
+	pooled  bool
+	// unpacked nodes neither send nor accept packed beacons.
+	unpacked func(i int) bool
 	// latest holds the last datagram sent from each address, for replays.
 	latest map[string][]byte
 }
@@ -51,6 +57,10 @@
 	evacuations atomic.Pointer[[]*schema.Evacuation]
 	evacuating  atomic.Bool
 	remarks     atomic.Pointer[[]*schema.Remark]
+	load        *loaded
+	sent        traffic
+	// unpacked is true if the node does not know packed beacons.
+	unpacked bool
 }
 
 func (n *node) Send(address string, datagram []byte) {
@@ -68,6 +78,15 @@
 	n.net.bytes += len(datagram)
 	n.net.latest[n.address] = datagram
 	to := n.net.nodes[address]
+	if to != nil && to.unpacked {
+		beacon := &schema.Beacon{}
+		if err := proto.Unmarshal(datagram, beacon); err != nil || len(beacon.GetPacked()) > 0 {
+			panic("a packed beacon is sent to a node that does not accept it")
+		}
+	}
+	if to != nil {
+		n.sent.add(len(datagram), to.domain != n.domain)
+	}
 	if to == nil || n.net.partitioned[n.address] != n.net.partitioned[address] || n.net.rng.Float64() < n.net.loss ||
 		n.net.blocked != nil && n.net.blocked(n.address, address) {
 		return
@@ -79,6 +98,9 @@
 	if !n.ready.Load() {
 		return nil
 	}
+	if n.net.loaded {
+		return n.load.endpoints()
+	}
 	return []*schema.Endpoint{{Service: "orders", Phase: schema.Phase_PHASE_READY, Limit: 10}}
 }
 
@@ -97,24 +119,46 @@
 }
 
 func (n *node) Suspicions() []*schema.Suspicion { return nil }
-func (n *node) Inflows() []*schema.Inflow       { return nil }
-func (n *node) Usages() []*schema.Usage         { return n.net.usages }
-func (n *node) Profiles() []*schema.Profile     { return nil }
-func (n *node) Version() uint64                 { return 1 }
+
+func (n *node) Inflows() []*schema.Inflow {
+	if n.net.loaded {
+		return n.load.inflows()
+	}
+	return nil
+}
+
+func (n *node) Usages() []*schema.Usage {
+	switch {
+	case n.net.pooled:
+		return nil
+	case n.net.loaded:
+		return n.load.usages()
+	}
+	return n.net.usages
+}
+
+func (n *node) Profiles() []*schema.Profile {
+	if n.net.loaded {
+		return n.load.profiles()
+	}
+	return nil
+}
+
+func (n *node) Version() uint64 { return 1 }
 
 func newNetwork() *network {
 	return &network{
 		nodes: map[string]*node{}, partitioned: map[string]bool{}, rng: rand.New(rand.NewPCG(1, 2)), latest: map[string][]byte{},
-		usages: []*schema.Usage{{Workspace: "gloves", Arrivals: 2}},
+		usages: []*schema.Usage{{Workspace: "gloves", Arrivals: 2}}, domains: domains,
 	}
 }
 
 func name(i int) string    { return fmt.Sprint("node-", i) }
-func address(i int) string { return fmt.Sprint("10.0.0.", i, ":7000") }
+func address(i int) string { return fmt.Sprint("10.0.", i/256, ".", i%256, ":7000") }
 
 // start starts node i, which learns of the known nodes from the directory.
 func (nw *network) start(i int, known ...int) *node {
-	n := &node{net: nw, address: address(i), domain: fmt.Sprint("domain-", i%domains), stopped: make(chan struct{})}
+	n := &node{net: nw, address: address(i), domain: fmt.Sprint("domain-", i%nw.domains), stopped: make(chan struct{}), load: newLoaded(i)}
 	n.ready.Store(true)
 	nw.mu.Lock()
 	incarnation := nw.rng.Uint64()
@@ -122,6 +166,9 @@
 	n.Beaconer = beaconer.New(&schema.Member{
 		Name: name(i), Domain: n.domain, Beacon: n.address, Status: schema.Status_STATUS_ALIVE, Incarnation: incarnation,
 	}, n, n, 200*time.Millisecond, nw.listeners...)
+	if n.unpacked = nw.unpacked != nil && nw.unpacked(i); n.unpacked {
+		n.WithoutPacks()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	nw.mu.Lock()
@@ -300,6 +347,10 @@
 			time.Sleep(500 * time.Millisecond)
 			n[0].Receive(old)
 		}, 50 * time.Millisecond, 9},
+		"a malformed pack": {func(_ *network, n []*node) {
+			n[0].Receive([]byte("\x72\x05nonse"))
+			n[0].Receive([]byte("\x72\x00"))
+		}, 50 * time.Millisecond, 10},
 		"a malformed datagram": {func(_ *network, n []*node) { n[0].Receive([]byte("\x0a\xffnonsense")) }, 50 * time.Millisecond, 10},
 	}
 	for name, c := range cases {
@@ -368,7 +419,7 @@
 // holds the lock.
 func (nw *network) isDigest(from string) bool {
 	beacon := &schema.Beacon{}
-	return proto.Unmarshal(nw.latest[from], beacon) == nil && len(beacon.GetRelayed()) > 0
+	return proto.Unmarshal(nw.latest[from], beacon) == nil && (len(beacon.GetRelayed()) > 0 || len(beacon.GetPacked()) > 0)
 }
 
 // setLoss sets the share of datagrams that are dropped.
