--- a/attacher/node.go
+++ b/attacher/node.go
@@ -84,6 +84,7 @@
 	p.Recorder.Publish("members_live", func() any { return p.Fleet.beaconer.View().LiveCount() })
 	p.Recorder.Publish("blind", func() any { return p.Fleet.configWatcher.role.isBlind() })
 	p.Recorder.Publish("watch_takeovers", func() any { return p.Fleet.configWatcher.role.takeovers() })
+	p.Recorder.Publish("beacon_bytes", func() any { return p.Fleet.beaconer.SentBytes() })
 	p.Recorder.Publish("upstream", func() any { return p.Supervisor.Endpoints() })
 	p.Recorder.Publish("shares", func() any { return p.Fleet.shedder.Shares() })
 	p.Recorder.Publish("cold", func() any { return p.Traffic.rationer.Budgets() })
@@ -195,6 +196,8 @@
 			n.parts.Traffic.relay.ServeHTTP(w, r)
 			return
 		}
+		// Nodes don't read the date.
+		w.Header()["Date"] = nil
 		control.ServeHTTP(w, r)
 	})
 }
--- a/forwarder/dispatcher.go
+++ b/forwarder/dispatcher.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"quetzalhub/balancer"
@@ -33,6 +34,9 @@
 	Alive(name string) bool
 }
 
+// nodeHost is the Host header of requests between nodes.
+const nodeHost = "node"
+
 // Reasons for sending a call again: keys of the retry counters and values in
 // "resent" events.
 const (
@@ -317,7 +321,8 @@
 func (d *Dispatcher) newAttempt(call *Call, target *balancer.Target) *attempt {
 	name, incarnation := d.identity.Identity()
 	number := d.attemptCount.Add(1)
-	id := name + "/" + strconv.FormatUint(incarnation, 36) + "/" + strconv.FormatUint(number, 36)
+	sender := xxhash.Sum64String(name + "/" + strconv.FormatUint(incarnation, 36))
+	id := strconv.FormatUint(sender, 36) + "/" + strconv.FormatUint(number, 36)
 	a := &attempt{id: id, target: target, call: call, sent: time.Now()}
 	if call.Retryable {
 		a.delegatedRetries = call.Parent.Budget.Delegate()
@@ -352,14 +357,31 @@
 		envelope.Objective = durationpb.New(call.Route.TargetLatency)
 	}
 	header := maps.Clone(call.Header)
-	header[HeaderEnvelope] = []string{encodeHeader(envelope)}
-	header[headerMethod] = []string{call.Method}
+	method := nodeMethod(call.Method)
+	if a.target.Member.GetPacks() {
+		if call.Method == http.MethodGet && call.Body.length == 0 {
+			// A POST would state the length of its body.
+			method = http.MethodGet
+		}
+		if call.Method != method {
+			envelope.Method = call.Method
+		}
+		header[HeaderEnvelope] = []string{encodeCompact(envelope)}
+	} else {
+		header[HeaderEnvelope] = []string{encodeHeader(envelope)}
+		header[headerMethod] = []string{call.Method}
+	}
 	if envelope.Digest != nil {
 		// The receiver asks for the body once the call runs, so that it can be sent elsewhere
 		// if it does not.
 		header["Expect"] = []string{"100-continue"}
 	}
-	return newRequest(ctx, nodeMethod(call.Method), call.URL, a.target.Member.GetAddress(), header, call.Body)
+	req := newRequest(ctx, method, call.URL, a.target.Member.GetAddress(), header, call.Body)
+	if a.target.Member.GetPacks() {
+		// HTTP requires a host, but the receiver takes that of the envelope.
+		req.Host = nodeHost
+	}
+	return req
 }
 
 // nodeMethod returns the method of the request between nodes that carries a request of a
@@ -385,11 +407,17 @@
 	report := decodeReport(resp.Header)
 	latency := time.Since(a.sent)
 	if report == nil {
+		unread := a.target.Member.GetPacks() && envelopeUnread(resp)
 		resp.Body.Close()
 		cancel()
+		if unread {
+			a.target.Done(balancer.Refused, latency)
+			return nil, false, &refuser.Error{Code: refuser.IncarnationChanged}
+		}
 		a.target.Done(balancer.Unreachable, latency)
 		return nil, true, &refuser.Error{Code: refuser.ReceiverUnclear}
 	}
+	restoreEndpoint(report.GetEndpoint(), a.call.Service, a.target.Member)
 	a.target.RecordLoad(report.GetEndpoint())
 	d.recordReport(a.call, report)
 	parent := a.call.Parent
--- a/transporter/options.go
+++ b/transporter/options.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"syscall"
 	"time"
+
+	"quetzalhub/util/meter"
 )
 
 // Option configures a Transporter.
@@ -22,6 +24,11 @@
 	return func(t *Transporter) { t.onReset = notify }
 }
 
+// Count counts the bytes of connections.
+func Count(c meter.Counter) Option {
+	return func(t *Transporter) { t.counter = c }
+}
+
 // tcpUserTimeout is the socket option TCP_USER_TIMEOUT, which package syscall
 // does not name.
 const tcpUserTimeout = 18
