Take settings from the command line in place of the file

Change: quetzald takes -set section.key=value, which may be repeated; an empty value leaves that of the file.

--- a/attacher/reloader.go
+++ b/attacher/reloader.go
@@ -13,15 +13,18 @@
 	"quetzalhub/schema"
 )
 
-// SettingsPath is the path of the settings file.
-type SettingsPath string
+// SettingsSource is the path of the settings file, and what replaces values of it.
+type SettingsSource struct {
+	Path      string
+	Overrides []string
+}
 
 // reloader reads the settings file again on SIGHUP. Settings hold addresses and
 // bounds that are fixed for the life of the process, so a change is only
 // validated and logged; it takes effect at the next start.
 type reloader struct {
 	settings *schema.Settings
-	path     SettingsPath
+	source   SettingsSource
 	reporter *reporter.Reporter
 }
 
@@ -41,10 +44,10 @@
 }
 
 func (r *reloader) reload() {
-	next, err := loader.Load(string(r.path))
+	next, err := loader.Load(r.source.Path, r.source.Overrides...)
 	switch {
 	case err != nil:
-		r.reporter.Notice("settings_refused", "path", string(r.path), "err", err)
+		r.reporter.Notice("settings_refused", "path", r.source.Path, "err", err)
 	case proto.Equal(next, r.settings):
 		r.reporter.Notice("settings_reloaded", "changed", false)
 	default:
--- a/cmd/quetzald/attached.go
+++ b/cmd/quetzald/attached.go
@@ -26,7 +26,7 @@
 )
 
 // runAttached runs a node attached to a platform.
-func runAttached(s *schema.Settings, path string) {
+func runAttached(s *schema.Settings, source attacher.SettingsSource) {
 	debug.SetGCPercent(attachedGCPercent)
 	debug.SetMemoryLimit(int64(attachedMemoryRatio * float64(s.GetBounds().GetMemory()<<20)))
 	runtime.GOMAXPROCS(1)
@@ -37,7 +37,7 @@
 	r := reporter.New(os.Stdout, s.GetNode().GetName(), level)
 	app := fx.New(
 		fx.NopLogger,
-		fx.Supply(s, attacher.SettingsPath(path), r, platform.Attach(s)),
+		fx.Supply(s, source, r, platform.Attach(s)),
 		fx.StopTimeout(s.GetBounds().GetGrace().AsDuration()+time.Second),
 		attacher.Module,
 	)
--- a/cmd/quetzald/main.go
+++ b/cmd/quetzald/main.go
@@ -15,12 +15,14 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"go.uber.org/fx"
 
+	"quetzalhub/attacher"
 	"quetzalhub/loader"
 	"quetzalhub/schema"
 	"quetzalhub/server"
@@ -41,10 +43,12 @@
 func main() {
 	settings := flag.String("settings", "", "run with the settings in this `file`")
 	attach := flag.Bool("attach", false, "attach to a platform that keeps the configuration")
+	var overrides stringList
+	flag.Var(&overrides, "set", "use `section.key=value` in place of the settings file; may be repeated")
 	check := flag.String("check", "", "check the settings in this `file` and exit")
 	flag.Parse()
 	if *check != "" {
-		load(*check)
+		load(*check, overrides)
 		return
 	}
 	if *settings == "" || flag.NArg() > 0 {
@@ -55,16 +59,28 @@
 		// The platform may send the signal, which ends a process by default, before the node
 		// handles it.
 		signal.Ignore(syscall.SIGHUP)
-		runAttached(load(*settings), *settings)
+		runAttached(load(*settings, overrides), attacher.SettingsSource{Path: *settings, Overrides: overrides})
 		return
 	}
-	run(load(*settings))
+	run(load(*settings, overrides))
+}
+
+// stringList is the value of a flag that may be repeated.
+type stringList []string
+
+// String returns the values as the flag package prints them.
+func (l *stringList) String() string { return strings.Join(*l, " ") }
+
+// Set appends a value.
+func (l *stringList) Set(value string) error {
+	*l = append(*l, value)
+	return nil
 }
 
 // load reads the settings; if they are not valid, it prints all errors and
 // exits.
-func load(path string) *schema.Settings {
-	s, err := loader.Load(path)
+func load(path string, overrides []string) *schema.Settings {
+	s, err := loader.Load(path, overrides...)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -54,12 +54,23 @@
 	return strings.Join(lines, "\n")
 }
 
-// Load reads and checks the file at path.
-func Load(path string) (*schema.Settings, error) {
+// Load reads and checks the file at path. Each override, of the form "section.key=value",
+// replaces a value of the file; an empty value leaves it as it is.
+func Load(path string, overrides ...string) (*schema.Settings, error) {
 	file, err := ini.Load(path)
 	if err != nil {
 		return nil, errors.Annotate(err, "reading settings")
 	}
+	for _, o := range overrides {
+		name, value, ok := strings.Cut(o, "=")
+		section, key, qualified := strings.Cut(name, ".")
+		if !ok || !qualified {
+			return nil, errors.Errorf("the setting %q does not have the form section.key=value", o)
+		}
+		if value != "" {
+			file.Section(section).Key(key).SetValue(value)
+		}
+	}
 	return decode(file)
 }
 
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -1,6 +1,8 @@
 package loader_test
 
 import (
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -73,3 +75,36 @@
 	g.Expect(ok).To(BeTrue())
 	g.Expect(len(faults)).To(BeNumerically(">=", 7))
 }
+
+// TestOverrides guards against values of the command line that are lost, or that hide a
+// fault, and against an empty one that replaces a value of the file.
+func TestOverrides(t *testing.T) {
+	const node = "[node]\nname = n\ndomain = hall\ncallers = 127.0.0.1:1\npeers = 127.0.0.1:2\nlocal = 127.0.0.1:3\nadmin = 127.0.0.1:4\n[platform]\naddress = 127.0.0.1:5\n"
+	cases := map[string]struct {
+		file, override string
+		want           time.Duration
+		fault          string
+	}{
+		"none in the file":   {"", "bounds.evacuation=3s", 3 * time.Second, ""},
+		"instead of a value": {"[bounds]\nevacuation = 9s\n", "bounds.evacuation=3s", 3 * time.Second, ""},
+		"empty":              {"[bounds]\nevacuation = 9s\n", "bounds.evacuation=", 9 * time.Second, ""},
+		"not a duration":     {"", "bounds.evacuation=soon", 0, "[bounds] evacuation"},
+		"unknown key":        {"", "bounds.evacuations=3s", 0, "unknown key"},
+		"no section":         {"", "evacuation=3s", 0, "section.key=value"},
+		"no value":           {"", "bounds.evacuation", 0, "section.key=value"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			path := filepath.Join(t.TempDir(), "settings.ini")
+			g.Expect(os.WriteFile(path, []byte(node+c.file), 0o600)).To(Succeed())
+			s, err := loader.Load(path, c.override)
+			if c.fault != "" {
+				g.Expect(err).To(MatchError(ContainSubstring(c.fault)))
+				return
+			}
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(s.GetBounds().GetEvacuation().AsDuration()).To(Equal(c.want))
+		})
+	}
+}
