--- a/cmd/quetzald/main.go
+++ b/cmd/quetzald/main.go
@@ -43,8 +43,8 @@
 func main() {
 	settings := flag.String("settings", "", "run with the settings in this `file`")
 	attach := flag.Bool("attach", false, "attach to a platform that keeps the configuration")
-	var overrides stringList
-	flag.Var(&overrides, "set", "use `section.key=value` in place of the settings file; may be repeated")
+	overrides := stringList(strings.Fields(os.Getenv(overridesVariable)))
+	flag.Var(&overrides, "set", "use `section.key=value` in place of the settings file; may be repeated, and stand in "+overridesVariable)
 	check := flag.String("check", "", "check the settings in this `file` and exit")
 	flag.Parse()
 	if *check != "" {
@@ -65,6 +65,10 @@
 	run(load(*settings, overrides))
 }
 
+// overridesVariable is the environment variable with settings as the flag -set takes them,
+// separated by spaces.
+const overridesVariable = "QUETZALD_SET"
+
 // stringList is the value of a flag that may be repeated.
 type stringList []string
 
