Hold a request only for crashes at two hosts, and tell ends to all

Cause: identical suspected requests went to one node by hash, so those of a flapping upstream came back to it, and its restarts counted as different upstreams.

Change: the hash of a crash has that of the host; an isolated request goes to a host without a crash of late, else to one without a crash under it; a host that crashes without the request explains its crashes; any end clears the request and is told as a suspicion without crashes. Crashes of one host suffice only if no other upstream is left, and never for nested calls. A retry after a crash waits 50 ms for the news of others. No message has a new field.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -207,7 +207,7 @@
 	var best *schema.Member
 	highest := uint64(0)
 	for _, m := range b.members(service, need) {
-		if tried.Has(m.GetName()) || b.isAvoided(m) || b.isClosed(service, m) {
+		if tried.Has(m.GetName()) || b.isAvoided(m) || b.isClosed(service, m) || need.Skip != nil && need.Skip(m.GetName()) {
 			continue
 		}
 		if hash := xxhash.Sum64String(strconv.FormatUint(key, 36) + m.GetName()); best == nil || hash > highest {
--- a/balancer/capacity.go
+++ b/balancer/capacity.go
@@ -110,6 +110,8 @@
 	Calls int
 	// Regions are those in which the call may run. The zero value allows all.
 	Regions resolver.Regions
+	// Skip excludes nodes by name from a pick by hash. It may be nil.
+	Skip func(node string) bool
 }
 
 // lateness returns the chance that the calls do not end in time at an upstream with the
--- a/forwarder/isolation.go
+++ b/forwarder/isolation.go
@@ -32,6 +32,8 @@
 	// defaultIsolationWait is the longest wait of an isolated request for its turn if
 	// its latency objective is not known.
 	defaultIsolationWait = 500 * time.Millisecond
+	// newsDelay is the time after a crash by which other nodes have heard of it.
+	newsDelay = 50 * time.Millisecond
 	// maxHeldWait is the longest hold after which callers are told to come back.
 	maxHeldWait = 10 * time.Second
 )
@@ -41,8 +43,10 @@
 	// Empty reports whether nothing is known against any request.
 	Empty() bool
 	Treatment(f quarantiner.Fingerprint) (quarantiner.Treatment, time.Duration)
+	TreatmentAtLast(f quarantiner.Fingerprint) (quarantiner.Treatment, time.Duration)
+	CrashedHosts(f quarantiner.Fingerprint) (under, lately quarantiner.Hosts)
 	Crashes(f quarantiner.Fingerprint) int
-	RecordCrash(id string, born int64, runs []quarantiner.Run)
+	RecordHostCrash(host, id string, born int64, runs []quarantiner.Run)
 	RecordEnd(f quarantiner.Fingerprint)
 	Suspicion(f quarantiner.Fingerprint) *schema.Suspicion
 	Store(suspicions []*schema.Suspicion)
@@ -68,8 +72,7 @@
 	return &refuser.Error{Code: refuser.RequestHeld, Detail: refuser.Detail{Note: note, RetryAfter: left}}
 }
 
-// pick selects the node for the next attempt of a call. Identical isolated calls go to
-// the same node. It returns a refusal if the call is held or no node is left.
+// pick selects the node for the next attempt of a call. It returns a refusal if the call is held or no node is left.
 func (d *Dispatcher) pick(call *Call, tried set.Set[string]) (*balancer.Target, error) {
 	need := d.need(call)
 	if d.quarantine.Empty() {
@@ -80,23 +83,55 @@
 		return target, nil
 	}
 	f := call.fingerprint()
+	if len(tried) > 0 {
+		d.awaitNews(call, f)
+	}
 	treatment, left := d.quarantine.Treatment(f)
 	if treatment == quarantiner.Held {
 		return nil, heldError(d.quarantine, f, left)
 	}
-	var target *balancer.Target
-	var ok bool
 	if treatment == quarantiner.Isolated {
-		target, ok = d.picker.PickHashed(call.Service, need, uint64(f), tried)
-	} else {
-		target, ok = d.picker.PickInTime(call.Service, need, tried)
+		return d.pickIsolated(call, need, f, tried)
 	}
+	target, ok := d.picker.PickInTime(call.Service, need, tried)
 	if !ok {
 		return nil, missingError(need)
 	}
 	return target, nil
 }
 
+// pickIsolated selects the same node for identical isolated calls: one whose upstream has not
+// crashed lately, or else one whose upstream has not crashed under them.
+func (d *Dispatcher) pickIsolated(call *Call, need balancer.Need, f quarantiner.Fingerprint, tried set.Set[string]) (*balancer.Target, error) {
+	under, lately := d.quarantine.CrashedHosts(f)
+	for _, hosts := range []quarantiner.Hosts{lately, under} {
+		need.Skip = hosts.Has
+		if target, ok := d.picker.PickHashed(call.Service, need, uint64(f), tried); ok {
+			return target, nil
+		}
+	}
+	need.Skip = nil
+	// All nested calls of a service may be identical, so crashes of one host hold none.
+	if !call.Nested {
+		if treatment, left := d.quarantine.TreatmentAtLast(f); treatment == quarantiner.Held {
+			return nil, heldError(d.quarantine, f, left)
+		}
+	}
+	target, ok := d.picker.PickHashed(call.Service, need, uint64(f), tried)
+	if !ok {
+		return nil, missingError(need)
+	}
+	return target, nil
+}
+
+// awaitNews waits before a retry of a call under which an upstream has just crashed: copies
+// that other nodes sent at the same time may have crashed others.
+func (d *Dispatcher) awaitNews(call *Call, f quarantiner.Fingerprint) {
+	if s := d.quarantine.Suspicion(f); len(s.GetCrashes()) > 0 {
+		time.Sleep(min(newsDelay-s.GetAge().AsDuration(), timeLeft(call.Parent.Deadline)))
+	}
+}
+
 // need returns what a call needs of a node at present.
 func (d *Dispatcher) need(call *Call) balancer.Need {
 	need := call.need(d.slotTime(call.Route.Name, call.Service))
@@ -123,6 +158,7 @@
 // and which requests ran there.
 type isolator struct {
 	quarantine Quarantine
+	identity   Identity
 	onCrash    func()
 	reporter   Reporter
 	// turn holds a value while an isolated request runs.
@@ -142,8 +178,8 @@
 	crashed  bool
 }
 
-func newIsolator(q Quarantine, onCrash func(), r Reporter) *isolator {
-	return &isolator{quarantine: q, onCrash: onCrash, reporter: r, turn: make(chan struct{}, 1), runs: map[*relayCall]quarantiner.Run{}}
+func newIsolator(q Quarantine, id Identity, onCrash func(), r Reporter) *isolator {
+	return &isolator{quarantine: q, identity: id, onCrash: onCrash, reporter: r, turn: make(chan struct{}, 1), runs: map[*relayCall]quarantiner.Run{}}
 }
 
 // enter waits for the turn of a call if it is isolated. It returns a refusal if the call is
@@ -206,11 +242,16 @@
 	delete(i.runs, rc)
 }
 
-// clear drops the suspicion against an isolated call that the upstream has answered.
+// clear drops the suspicion against a call that the upstream has answered, isolated or not:
+// it may have begun before the crash of another upstream.
 func (i *isolator) clear(rc *relayCall, from *http.Request) {
-	if rc.isolated {
+	if i.quarantine.Empty() {
+		return
+	}
+	f := rc.quarantineRequest(from).Fingerprint()
+	if rc.isolated || i.quarantine.Crashes(f) > 0 {
 		rc.cleared = true
-		i.quarantine.RecordEnd(rc.quarantineRequest(from).Fingerprint())
+		i.quarantine.RecordEnd(f)
 	}
 }
 
@@ -240,7 +281,8 @@
 	if c.crashed = !listens(c.upstream.Address); !c.crashed {
 		return
 	}
-	i.quarantine.RecordCrash(c.upstream.ID, c.upstream.Born, runs)
+	host, _ := i.identity.Identity()
+	i.quarantine.RecordHostCrash(host, c.upstream.ID, c.upstream.Born, runs)
 	// Other nodes may already know that the upstream is lost, but not why.
 	i.onCrash()
 	isolated := "none"
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -138,7 +138,7 @@
 	if o.OnCrash == nil {
 		o.OnCrash = func() {}
 	}
-	return &Relay{options: o, isolator: newIsolator(o.Quarantine, o.OnCrash, o.Reporter)}
+	return &Relay{options: o, isolator: newIsolator(o.Quarantine, o.Identity, o.OnCrash, o.Reporter)}
 }
 
 // relayCall is the state of a call from another node.
--- a/quarantiner/exchange.go
+++ b/quarantiner/exchange.go
@@ -15,16 +15,41 @@
 	// suspicionSendPeriod is the time after a crash for which the records of requests that
 	// are not held are sent.
 	suspicionSendPeriod = time.Minute
+	// minEnds is the number of ended requests for which a beacon has room.
+	minEnds = 16
 )
 
-// Suspicions returns the most important records in the form that is sent to other nodes.
+// Suspicions returns the most important records in the form that is sent to other nodes, and
+// the requests that have ended since they were suspected, which have no crashes.
 func (q *Quarantiner) Suspicions() []*schema.Suspicion {
-	if q.Empty() {
-		return nil
-	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := time.Now()
+	ends := q.ends(now)
+	suspicions := q.suspicions(now, maxSuspicions-min(len(ends), minEnds))
+	return append(suspicions, ends[:min(len(ends), maxSuspicions-len(suspicions))]...)
+}
+
+// ends returns the requests that have ended since they were suspected, the latest first.
+// The caller holds the lock.
+func (q *Quarantiner) ends(now time.Time) []*schema.Suspicion {
+	var list []Fingerprint
+	for f, at := range q.endedAt {
+		if now.Sub(at) <= suspicionSendPeriod {
+			list = append(list, f)
+		}
+	}
+	slices.SortFunc(list, func(a, b Fingerprint) int { return q.endedAt[b].Compare(q.endedAt[a]) })
+	list = list[:min(len(list), maxSuspicions)]
+	ends := make([]*schema.Suspicion, len(list))
+	for i, f := range list {
+		ends[i] = &schema.Suspicion{Request: uint64(f), Age: durationpb.New(now.Sub(q.endedAt[f]))}
+	}
+	return ends
+}
+
+// suspicions returns the most important records. The caller holds the lock.
+func (q *Quarantiner) suspicions(now time.Time, limit int) []*schema.Suspicion {
 	var list []Fingerprint
 	for f, r := range q.records {
 		if r.expired(now) {
@@ -41,7 +66,7 @@
 		}
 		return 1
 	})
-	list = list[:min(len(list), maxSuspicions)]
+	list = list[:min(len(list), limit)]
 	suspicions := make([]*schema.Suspicion, len(list))
 	for i, f := range list {
 		suspicions[i] = q.records[f].suspicion(f, now)
@@ -96,7 +121,11 @@
 	defer q.mu.Unlock()
 	for _, s := range suspicions {
 		crashes := s.GetCrashes()
-		if s.GetRequest() == 0 || len(crashes) == 0 || len(crashes) > maxCrashes {
+		if s.GetRequest() == 0 || len(crashes) > maxCrashes {
+			continue
+		}
+		if len(crashes) == 0 {
+			q.end(Fingerprint(s.GetRequest()), now.Add(-max(s.GetAge().AsDuration(), 0)))
 			continue
 		}
 		other := &record{caller: s.GetCaller(), crashes: map[uint64]bool{}, prime: s.GetPrime(), lastCrashAt: now.Add(-max(s.GetAge().AsDuration(), 0))}
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -3,11 +3,17 @@
 //
 // When an upstream crashes, every request that ran there is suspected. Most of them have
 // not caused the crash, so a suspected request is not refused but isolated: identical
-// requests go to the same upstream, which runs one suspected request at a time. If that
-// upstream crashes too, the request that it ran is held: it is refused, for longer
-// after each further crash. If the request ends, the suspicion is dropped. A request that
-// crashes every upstream is thus held after two crashes and tried once more after the
-// first hold; all others remain in use.
+// requests go to the same upstream, one that has not crashed under them, which runs one
+// suspected request at a time. If that upstream crashes too, the request that it ran is
+// held: it is refused, for longer after each further crash. If the request ends anywhere,
+// the suspicion is dropped, and all nodes are told. A request that crashes every upstream
+// is thus held after two crashes and tried once more after the first hold; all others
+// remain in use.
+//
+// Crashes of one host say little about a request, since its upstream may go down whatever
+// it runs. A request is held only for crashes at two hosts, not counting those where
+// upstreams crashed without it. Only if no other upstream is left do crashes of one host
+// suffice.
 //
 // Identical requests have the same fingerprint, that of caller, method, host, path, query and
 // body. Crashes have many causes, so only a crash during an isolated run is attributed to
@@ -21,7 +27,8 @@
 //
 //	q := quarantiner.New()
 //	treatment, left := q.Treatment(request.Fingerprint())
-//	q.RecordCrash("i-7", 1700000000000, runs)  // beside the upstream
+//	under, lately := q.CrashedHosts(request.Fingerprint())  // if it is isolated
+//	q.RecordHostCrash("host-7", "i-7", 1700000000000, runs)  // beside the upstream
 //	q.RecordEnd(fingerprint)                   // an isolated request has ended
 //	beacon.Suspicions = q.Suspicions()         // at other nodes: q.Store(beacon.GetSuspicions())
 package quarantiner
@@ -127,11 +134,16 @@
 	// endedAt holds the time at which a suspected request has ended: records of earlier
 	// crashes, which other nodes may still send, no longer count.
 	endedAt map[Fingerprint]time.Time
+	// hosts holds the latest crashes of the upstreams of each host.
+	hosts map[hostHash]map[uint64]hostCrash
 }
 
 // New returns a Quarantiner without records.
 func New() *Quarantiner {
-	q := &Quarantiner{records: map[Fingerprint]*record{}, endedAt: map[Fingerprint]time.Time{}, holds: make(chan Hold, maxHolds)}
+	q := &Quarantiner{
+		records: map[Fingerprint]*record{}, endedAt: map[Fingerprint]time.Time{}, hosts: map[hostHash]map[uint64]hostCrash{},
+		holds: make(chan Hold, maxHolds),
+	}
 	q.empty.Store(true)
 	return q
 }
@@ -139,8 +151,20 @@
 // Empty reports whether nothing is known against any request.
 func (q *Quarantiner) Empty() bool { return q.empty.Load() }
 
-// Treatment returns how to run a request, and for how long it is still held.
+// Treatment returns how to run a request, and for how long it is still held because
+// upstreams of several hosts crashed under it.
 func (q *Quarantiner) Treatment(f Fingerprint) (Treatment, time.Duration) {
+	return q.treatment(f, q.evidenceUntil)
+}
+
+// TreatmentAtLast returns the same for a request for which no upstream is left but those
+// that crashed under it. One that has no other host is then held because of the crashes of
+// a single one.
+func (q *Quarantiner) TreatmentAtLast(f Fingerprint) (Treatment, time.Duration) {
+	return q.treatment(f, func(r *record, _ time.Time) time.Time { return r.heldUntil() })
+}
+
+func (q *Quarantiner) treatment(f Fingerprint, until func(r *record, now time.Time) time.Time) (Treatment, time.Duration) {
 	if q.Empty() {
 		return Normal, 0
 	}
@@ -155,7 +179,7 @@
 		q.remove(f)
 		return Normal, 0
 	}
-	if left := r.heldUntil().Sub(now); left > 0 {
+	if left := until(r, now).Sub(now); left > 0 {
 		return Held, left
 	}
 	if r.isIsolated() {
@@ -176,10 +200,15 @@
 	return 0
 }
 
-// RecordCrash records the crash of an instance of an upstream with the requests that ran
-// there. If one of them was isolated, the crash is attributed to it.
+// RecordCrash records the crash of an instance of an upstream that has a host of its own.
 func (q *Quarantiner) RecordCrash(id string, born int64, runs []Run) {
-	crash := max(xxhash.Sum64String(id+"/"+strconv.FormatInt(born, 10)), 1)
+	q.RecordHostCrash(id, id, born, runs)
+}
+
+// RecordHostCrash records the crash of an instance of the upstream of a host with the
+// requests that ran there. If one of them was isolated, the crash is attributed to it.
+func (q *Quarantiner) RecordHostCrash(host, id string, born int64, runs []Run) {
+	crash := newCrash(host, id, born)
 	now := time.Now()
 	runs = slices.Clone(runs)
 	slices.SortFunc(runs, func(a, b Run) int { return b.Began.Compare(a.Began) })
@@ -188,7 +217,8 @@
 	defer q.mu.Unlock()
 	for i, run := range runs {
 		f := run.Request.Fingerprint()
-		prime := run.Isolated || !isolated && i < maxPrimeSuspects
+		// The one begun last may have caused the crash beside an isolated one.
+		prime := run.Isolated || i == 0 || !isolated && i < maxPrimeSuspects
 		held := q.add(f, &record{
 			caller: callerHash(run.Request.Caller), crashes: map[uint64]bool{crash: run.Isolated}, prime: prime, lastCrashAt: now,
 		})
@@ -204,11 +234,20 @@
 func (q *Quarantiner) RecordEnd(f Fingerprint) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.records[f] == nil {
+	if q.records[f] != nil {
+		q.end(f, time.Now())
+	}
+}
+
+// end drops what earlier crashes say of a request that has ended. The caller holds the lock.
+func (q *Quarantiner) end(f Fingerprint, at time.Time) {
+	if !at.After(q.endedAt[f]) {
 		return
 	}
-	q.remove(f)
-	q.endedAt[f] = time.Now()
+	if r := q.records[f]; r != nil && !r.lastCrashAt.After(at) {
+		q.remove(f)
+	}
+	q.endedAt[f] = at
 	removeOldest(q.endedAt, maxRecords, func(t time.Time) time.Time { return t })
 }
 
@@ -237,6 +276,9 @@
 	before := r.alone()
 	for crash, alone := range other.crashes {
 		if _, known := r.crashes[crash]; known || len(r.crashes) < maxCrashes {
+			if !known || alone {
+				q.noteCrash(crash, f, alone, other.lastCrashAt)
+			}
 			r.crashes[crash] = r.crashes[crash] || alone
 		}
 	}
@@ -267,8 +309,8 @@
 	return n
 }
 
-// heldUntil returns the time until which the request is held, or the last crash if it
-// is not held.
+// heldUntil returns the time until which the request is held if crashes of one host
+// suffice, or the last crash if it is not held.
 func (r *record) heldUntil() time.Time {
 	alone := r.alone()
 	if alone == 0 || len(r.crashes) < 2 {
