Read the own entry at each restart again

Cause: with all nodes restarting at once, each waited 150 ms for one that remembers before it used its upstream.

--- a/attacher/departures.go
+++ b/attacher/departures.go
@@ -23,11 +23,6 @@
 	// recallTimeout is the time after its start until which a node does not use its
 	// upstream while it cannot read what it has kept of it.
 	recallTimeout = 600 * time.Millisecond
-	// peerWait is the time for which a node that starts waits for one that has run for
-	// longer, and remarkWait the time after its first beacon in which it tells what it
-	// remembers. longRunning is the number of beacons that such a node has sent.
-	peerWait, remarkWait = 150 * time.Millisecond, 50 * time.Millisecond
-	longRunning          = 50
 )
 
 // departures keeps the departure of the upstream beside this node in the directory entry of
@@ -41,9 +36,6 @@
 	// recalled is true once the entry has been read or can't be read.
 	recalled atomic.Bool
 	started  time.Time
-	// met is closed at the first beacon of a node that has run for longer than this one.
-	met     chan struct{}
-	metOnce sync.Once
 
 	mu   sync.Mutex
 	self Entry
@@ -53,7 +45,7 @@
 
 func newDepartures(s *schema.Settings, p *Platform, w *witness.Witness, st *supervisor.Supervisor, r *reporter.Reporter) *departures {
 	self := Entry{Name: s.GetNode().GetName(), Address: s.GetNode().GetBeacon()}
-	return &departures{directory: p.Directory, memory: w, refresh: st.Refresh, reporter: r, self: self, started: time.Now(), met: make(chan struct{})}
+	return &departures{directory: p.Directory, memory: w, refresh: st.Refresh, reporter: r, self: self, started: time.Now()}
 }
 
 // entry returns the directory entry of this node.
@@ -85,32 +77,9 @@
 	d.mu.Unlock()
 }
 
-// BeaconReceived notes that another node has run for long enough to remember departures.
-func (d *departures) BeaconReceived(_ *schema.Member, b *schema.Beacon) {
-	if b.GetNumber() >= longRunning {
-		d.metOnce.Do(func() { close(d.met) })
-	}
-}
-
-// NodeSilent does nothing.
-func (d *departures) NodeSilent(*schema.Member) {}
-
-// BeaconReduced does nothing.
-func (d *departures) BeaconReduced(error) {}
-
-// recall reads the departure that an earlier process of this node has kept, unless there are
-// nodes that remember it.
+// recall reads the departure that an earlier process of this node has kept.
 func (d *departures) recall(ctx context.Context) {
 	defer d.recalled.Store(true)
-	timer := time.NewTimer(peerWait)
-	defer timer.Stop()
-	select {
-	case <-d.met:
-		sleep(ctx, remarkWait)
-		return
-	case <-timer.C:
-	case <-ctx.Done():
-	}
 	entry, err := d.directory.Entry(ctx, d.entry().Name)
 	if err != nil {
 		if !errors.Is(err, storer.ErrMissing) {
--- a/attacher/departures_test.go
+++ b/attacher/departures_test.go
@@ -12,7 +12,6 @@
 
 	"quetzalhub/refuser"
 	"quetzalhub/reporter"
-	"quetzalhub/schema"
 	"quetzalhub/witness"
 )
 
@@ -37,16 +36,12 @@
 	self := Entry{Name: "node-1", Address: "10.0.0.1:7000"}
 	cases := map[string]struct {
 		down, silent bool
-		// met is true if a node that has run for longer sends a beacon.
-		met bool
 		// kept is what the next process of the node recalls.
 		kept bool
 	}{
 		"platform in order": {kept: true},
 		"platform down":     {down: true},
 		"platform silent":   {silent: true},
-		// Another node tells it, and the platform is not asked.
-		"another node goes on": {met: true},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -60,7 +55,7 @@
 				start := func() (*departures, *witness.Witness) {
 					w := witness.New()
 					return &departures{
-						directory: directory, memory: w, refresh: func() {}, reporter: reporter.New(io.Discard, self.Name, log.InfoLevel), self: self, started: time.Now(), met: make(chan struct{}),
+						directory: directory, memory: w, refresh: func() {}, reporter: reporter.New(io.Discard, self.Name, log.InfoLevel), self: self, started: time.Now(),
 					}, w
 				}
 				before, _ := start()
@@ -76,11 +71,7 @@
 				g.Expect(code).To(Equal(refuser.EndpointMissing), "not known yet")
 				ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 				defer cancel()
-				if c.met {
-					after.BeaconReceived(nil, &schema.Beacon{Number: 1000})
-				}
 				after.recall(ctx)
-				g.Expect(fake.reads).To(Equal(map[bool]int{true: 1, false: 0}[!c.met && !c.down && !c.silent]), "each call is charged")
 				_, code = upstreams.UpstreamFor("orders")
 				g.Expect(code).To(Equal(refuser.None))
 				g.Expect(memory.Departed(left.ID, left.Born)).To(Equal(c.kept))
--- a/attacher/module.go
+++ b/attacher/module.go
@@ -236,7 +236,7 @@
 // beaconer is set before these parts run.
 type lateDirectory struct{ *beaconer.Beaconer }
 
-func newFleet(s *schema.Settings, p *Platform, t *udp.Transport, st *supervisor.Supervisor, notifier *upstreamNotifier, c *confirmer.Confirmer, w *witness.Witness, q *quarantiner.Quarantiner, r *reporter.Reporter, cl *caller.Caller, ev *evacuator.Evacuator, dep *departures) *fleet {
+func newFleet(s *schema.Settings, p *Platform, t *udp.Transport, st *supervisor.Supervisor, notifier *upstreamNotifier, c *confirmer.Confirmer, w *witness.Witness, q *quarantiner.Quarantiner, r *reporter.Reporter, cl *caller.Caller, ev *evacuator.Evacuator) *fleet {
 	node := s.GetNode()
 	self := &schema.Member{
 		Name: node.GetName(), Address: node.GetPeers(), Admin: node.GetAdmin(), Beacon: node.GetBeacon(),
@@ -250,7 +250,7 @@
 	f.allocator = allocator.New(directory, c, cl, quotaAllowance(s), allocator.WithRetries(sharedRetries(s)))
 	f.estimator = estimator.New(s.GetUpstream().GetService())
 	f.shedder = shedder.New(directory, f.estimator, shedder.WithDomains(ev))
-	f.beaconer = beaconer.New(self, t, &beaconSource{st, c, f.allocator, f.estimator, f.shedder, w, q, ev, f.configWatcher.role}, beaconInterval, f.configWatcher, dep,
+	f.beaconer = beaconer.New(self, t, &beaconSource{st, c, f.allocator, f.estimator, f.shedder, w, q, ev, f.configWatcher.role}, beaconInterval, f.configWatcher,
 		&beaconListener{f.balancer, f.estimator, f.shedder, w, q, st, state, r})
 	directory.Beaconer = f.beaconer
 	f.evacuations = &evacuationWatcher{source: p.Evacuations, evacuation: state, view: f.beaconer.View, name: node.GetName(), watches: f.configWatcher.role.watches, announce: f.beaconer.Announce}
