--- a/review/standins-2/endpoint.go
+++ b/review/standins-2/endpoint.go
@@ -43,9 +43,8 @@
 
 	mu       sync.Mutex
 	leaving  bool
+	silent   bool
 	sequence int
-	// acked is the time of the last acknowledgement of a heartbeat.
-	acked    time.Time
 	conns    map[net.Conn]bool
 	arrivals []*arrival
 }
@@ -83,6 +82,15 @@
 	return nil
 }
 
+// fallSilent makes an endpoint take no more notice of anything: it sends no heartbeat, and
+// connections to it stay without an answer.
+func (e *endpoint) fallSilent() {
+	e.log.add("endpoint %s of %s falls silent", e.id, e.service)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.silent = true
+}
+
 func (e *endpoint) track(c net.Conn, state http.ConnState) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -119,13 +127,13 @@
 			return
 		case <-timer.C:
 		}
-		at, err := e.call(http.MethodPut, body)
 		e.mu.Lock()
-		if err == nil {
-			e.acked = at
-		}
-		leaving := e.leaving
+		leaving, silent := e.leaving, e.silent
 		e.mu.Unlock()
+		if silent {
+			return
+		}
+		_, _ = e.call(http.MethodPut, body)
 		if leaving {
 			return
 		}
@@ -199,6 +207,13 @@
 
 // ServeHTTP runs a request.
 func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	silent := e.silent
+	e.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if r.URL.Path == "/healthz" {
 		e.mu.Lock()
 		healthy := !e.leaving
