--- a/review/standins-2/leave.go
+++ b/review/standins-2/leave.go
@@ -14,11 +14,11 @@
 	rules := []map[string]any{route("r-1", "non_idempotent", "/records/", service, "5000ms", false)}
 	tenants := []map[string]any{{"name": "house", "apiKeys": []string{"key-of-house"}, "priority": 1, "ratePerS": 1000, "burst": 1000}}
 	l.store.putConfig(1, configuration(host, tenants, rules, service))
-	endpoints, err := l.startMachines(service, service)
+	endpoints, err := l.startMachines(service, service, service, service)
 	if err != nil {
 		return false, err
 	}
-	clients := l.load(attempt{method: http.MethodPost, host: host, target: "/records/w400/s200/", key: "key-of-house", deadline: 5 * time.Second}, 40)
+	clients := l.load(attempt{method: http.MethodPost, host: host, target: "/records/w400/s200/", key: "key-of-house", deadline: 5 * time.Second}, 60)
 	time.Sleep(3 * time.Second)
 
 	leaver := endpoints[0]
@@ -27,7 +27,7 @@
 		time.Sleep(300 * time.Millisecond)
 		leaver = leaver.next(leaver.id, service)
 		// The first heartbeat is sent now and arrives late.
-		if err := leaver.start(3 * time.Second); err != nil {
+		if err := leaver.start(2 * time.Second); err != nil {
 			return false, err
 		}
 		time.Sleep(time.Second)
