--- a/review/standins-2/endpoint.go
+++ b/review/standins-2/endpoint.go
@@ -36,10 +36,9 @@
 	heartbeat         time.Duration
 	log               *record
 
-	server  *http.Server
-	client  *http.Client
-	cancel  context.CancelFunc
-	running sync.WaitGroup
+	server *http.Server
+	client *http.Client
+	cancel context.CancelFunc
 
 	mu       sync.Mutex
 	leaving  bool
