--- a/review/standins-2/quota.go
+++ b/review/standins-2/quota.go
@@ -38,7 +38,7 @@
 		return false, err
 	}
 	a := attempt{method: http.MethodGet, host: host, target: "/catalog/w10/s200/", key: key, deadline: 4 * time.Second}
-	clients := l.load(a, 8)
+	clients := l.load(a, 32)
 	time.Sleep(8 * time.Second)
 	clients.stop()
 	if trouble {
