Take no part of an early answer for the whole

What callers saw: an upstream answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: a body without a length ends with its connection, and the reset should have ended it with an error. But a socket reports an error once. The write of the upload got ECONNRESET, after which the read of the answer, whose bytes were still in the receive queue, ended with io.EOF like that of a whole answer.

Change: where the write of a request has failed with an error of the socket, an answer that only ends with its connection is an error (3003, 502) and nothing of it is passed on. It works since the Transporter writes before it reads: only its own write can have taken the error that the read would have got. EPIPE is excepted. The first failed write gets it only if the peer had ended the connection in order before the reset, so that io.EOF is the end of what it sent; such answers are delivered as before, and so are early answers with a length, in chunks or without content. The error is taken from the writer, since Request.Write wraps it so that it can't be unwrapped.

--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -6,7 +6,8 @@
 // the request and reads the response in the calling goroutine, never resends, and
 // reports whether any byte of the request may have been sent.
 // Requests and responses are encoded and decoded by net/http. A response with a status
-// outside 100 to 599, or one that switches protocols, is an error.
+// outside 100 to 599, or one that switches protocols, is an error, and so is one whose end can't be
+// told from a reset of its connection.
 //
 // # Usage
 //
@@ -23,6 +24,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -38,6 +40,7 @@
 	"time"
 
 	"quetzalhub/util/meter"
+	"quetzalhub/verifier"
 )
 
 const (
@@ -283,7 +286,10 @@
 
 func (c *connection) write(req *http.Request) error {
 	if err := req.Write(c.writer); err != nil {
-		return err
+		// The error of the connection, which the writer keeps, can't be unwrapped from that of
+		// the request.
+		_, connErr := c.writer.Write(nil)
+		return cmp.Or(connErr, err)
 	}
 	return c.writer.Flush()
 }
@@ -311,6 +317,9 @@
 			}
 			continue
 		}
+		if verifier.EndsWithConnection(resp) && verifier.HidesReset(writeErr) {
+			return nil, errors.Join(writeErr, errors.New("the end of the response is not known"))
+		}
 		c.input.remaining = math.MaxInt64
 		resp.Close = resp.Close || writeErr != nil
 		return resp, nil
