Take no answer with a field name that is no token

What callers saw: an upstream in trouble sent an answer whose head had a blank in the name of a field, and it reached the caller as an answer. Where the field was the length or the coding of the body ("Content-Length : 5"), its body was not the upstream's: what came next on the connection, or the frames of the chunks, became part of it.

Cause: net/http rejects control bytes in names, but keeps a name with a blank as it is. Such a field is not the one that it resembles, so that a length with a blank states no length.

Change: the head of each answer is checked by verifier.CheckHead, which takes over the check of the status and rejects names that are no tokens (RFC 9112, section 5.1), also in informational answers. The caller gets 3003 (502) with none of the upstream's fields, and the connection is closed, since nobody can tell where the answer ends. It works for all fields, as net/http hands on the names as they came.

--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -6,8 +6,8 @@
 // the request and reads the response in the calling goroutine, never resends, and
 // reports whether any byte of the request may have been sent.
 // Requests and responses are encoded and decoded by net/http. A response with a status
-// outside 100 to 599, or one that switches protocols, is an error, and so is one whose end can't be
-// told from a reset of its connection.
+// outside 100 to 599, one that switches protocols, or one with a field whose name is no token, is an
+// error, and so is one whose end can't be told from a reset of its connection.
 //
 // # Usage
 //
@@ -56,8 +56,6 @@
 	bufferSize = 8 << 10
 	// maxHeadBytes is the largest accepted head of a response.
 	maxHeadBytes = 64 << 10
-	// maxStatus is the highest status of a response.
-	maxStatus = 599
 	// maxDiscardBytes is the number of bytes read at most to discard a stray response.
 	maxDiscardBytes = 1 << 20
 	// maxDiscarded is the number of stray and informational responses that may precede
@@ -327,27 +325,14 @@
 	return nil, errors.Join(writeErr, fmt.Errorf("more than %d stray or informational responses", maxDiscarded))
 }
 
-// readHead reads the head of one response with a valid status, which may be informational.
+// readHead reads the valid head of one response, which may be informational.
 func (c *connection) readHead(req *http.Request) (*http.Response, error) {
 	c.input.remaining = maxHeadBytes
 	resp, err := http.ReadResponse(c.reader, req)
 	if err != nil {
 		return nil, err
 	}
-	return resp, checkStatus(resp.StatusCode)
-}
-
-// checkStatus returns an error for a status that no answer to a request has (RFC 9110,
-// section 15). One below 100 must not pass for informational, since what follows it, or its
-// body, would be taken for the answer.
-func checkStatus(code int) error {
-	if code < http.StatusContinue || code > maxStatus {
-		return fmt.Errorf("response with status %03d", code)
-	}
-	if code == http.StatusSwitchingProtocols {
-		return errors.New("response switches protocols without being asked to")
-	}
-	return nil
+	return resp, verifier.CheckHead(resp)
 }
 
 // reuseTimeout returns the time for which a connection may be reused: the
