Take no reset answer for a whole one in clients of net/http

What callers saw: not seen by a user. A test shows the same fault as with endpoints in calls between nodes: a peer that answers a long call with 200 and no length, and resets the connection while the call is still being written, counts as having answered. A node that hands over the ledgers of a shard took them for adopted.

Cause: a socket reports a reset once. net/http writes and reads in two goroutines, and where the write gets the reset, the read ends with io.EOF like that of a whole answer.

Change: verifier.NewTransport gives the connections of a transport a type that keeps the error of a write which hides a reset, and returns it in place of io.EOF. A read that ends while a write is under way interrupts that write and waits for it, so that the order of the two does not matter. All clients of net/http use it: calls between nodes, health checks, both clients of the store, quetzalctl, quetzal-load with its audit, and the stand-ins. CountBytes of Caller sets a field that its dialer reads, since the transports are copies.

TestEarlyEnds keeps that an early answer which its peer ends in order is returned at once, whether or not the peer reads the rest. The store and health checks send nothing that the buffers of a connection don't take, so that no test of theirs failed.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -21,6 +21,7 @@
 	"quetzalhub/gossiper"
 	"quetzalhub/schema"
 	"quetzalhub/util/meter"
+	"quetzalhub/verifier"
 )
 
 const (
@@ -64,45 +65,46 @@
 	unpooled *http.Client
 	fetches  chan string
 	syncs    chan string
-	// pooledTransport and unpooledTransport make the connections of client and unpooled.
-	pooledTransport, unpooledTransport *http.Transport
+	// counter is set by CountBytes.
+	counter meter.Counter
 }
 
 // New returns a caller for the named node. A nil config means plaintext
 // connections.
 func New(name string, c Confirmer, l Local, config *tls.Config) *Caller {
-	pooled := &http.Transport{DisableCompression: true, TLSClientConfig: config, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: MaxHeadBytes}
-	unpooled := &http.Transport{DisableCompression: true, TLSClientConfig: config, DisableKeepAlives: true, MaxResponseHeaderBytes: MaxHeadBytes}
 	scheme := "http://"
 	if config != nil {
 		scheme = "https://"
 	}
-	return &Caller{
-		name:            name,
-		confirmer:       c,
-		local:           l,
-		scheme:          scheme,
-		client:          &http.Client{Transport: boundedTransport{pooled}},
-		unpooled:        &http.Client{Transport: boundedTransport{unpooled}},
-		pooledTransport: pooled, unpooledTransport: unpooled,
-		fetches: make(chan string, maxQueuedPulls),
-		syncs:   make(chan string, maxQueuedPulls),
+	caller := &Caller{
+		name:      name,
+		confirmer: c,
+		local:     l,
+		scheme:    scheme,
+		fetches:   make(chan string, maxQueuedPulls),
+		syncs:     make(chan string, maxQueuedPulls),
 	}
+	caller.client = caller.newClient(&http.Transport{TLSClientConfig: config, MaxIdleConnsPerHost: idlePerHost, IdleConnTimeout: idleTimeout})
+	caller.unpooled = caller.newClient(&http.Transport{TLSClientConfig: config, DisableKeepAlives: true})
+	return caller
 }
 
-// CountBytes counts the bytes of connections. It must be called before the first call.
-func (c *Caller) CountBytes(counter meter.Counter) {
-	for _, t := range []*http.Transport{c.pooledTransport, c.unpooledTransport} {
-		t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := new(net.Dialer).DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return meter.Wrap(conn, counter(address)), nil
-		}
+func (c *Caller) newClient(t *http.Transport) *http.Client {
+	t.DisableCompression, t.MaxResponseHeaderBytes, t.DialContext = true, MaxHeadBytes, c.dial
+	return &http.Client{Transport: boundedTransport{verifier.NewTransport(t)}}
+}
+
+func (c *Caller) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := new(net.Dialer).DialContext(ctx, network, address)
+	if err != nil || c.counter == nil {
+		return conn, err
 	}
+	return meter.Wrap(conn, c.counter(address)), nil
 }
 
+// CountBytes counts the bytes of connections. It must be called before the first call.
+func (c *Caller) CountBytes(counter meter.Counter) { c.counter = counter }
+
 // Attach sets the fleet. It must be called before Run.
 func (c *Caller) Attach(f Fleet) { c.fleet = f }
 
--- a/cmd/quetzal-standin/caller.go
+++ b/cmd/quetzal-standin/caller.go
@@ -14,6 +14,8 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/google/subcommands"
+
+	"quetzalhub/verifier"
 )
 
 // callerCommand sends requests as a caller of the fleet.
@@ -23,6 +25,7 @@
 	count       int
 	concurrency int
 	pause       time.Duration
+	client      *http.Client
 }
 
 func (*callerCommand) Name() string     { return "caller" }
@@ -44,6 +47,7 @@
 	if f.NArg() == 0 {
 		return subcommands.ExitUsageError
 	}
+	c.client = verifier.NewClient()
 	if c.count == 1 {
 		return c.printAnswer(ctx, f.Arg(0))
 	}
@@ -62,7 +66,7 @@
 	if c.key != "" {
 		req.Header.Set("Authorization", "Bearer "+c.key)
 	}
-	return http.DefaultClient.Do(req)
+	return c.client.Do(req)
 }
 
 // printAnswer sends one request and prints the answer with its headers.
--- a/cmd/quetzalctl/options.go
+++ b/cmd/quetzalctl/options.go
@@ -18,6 +18,7 @@
 	"quetzalhub/editor"
 	"quetzalhub/schema"
 	"quetzalhub/storer"
+	"quetzalhub/verifier"
 )
 
 const (
@@ -56,7 +57,7 @@
 // connect sets up the HTTP client for calls to nodes, with mutual TLS if there
 // is a certificate.
 func (o *options) connect() error {
-	o.client, o.scheme = http.DefaultClient, "http://"
+	o.client, o.scheme = verifier.NewClient(), "http://"
 	if o.certificate == "" {
 		return nil
 	}
@@ -64,7 +65,7 @@
 	if err != nil {
 		return err
 	}
-	o.client = &http.Client{Transport: &http.Transport{TLSClientConfig: c.Client()}}
+	o.client = &http.Client{Transport: verifier.NewTransport(&http.Transport{TLSClientConfig: c.Client()})}
 	o.scheme = "https://"
 	return nil
 }
--- a/driver/audit.go
+++ b/driver/audit.go
@@ -12,6 +12,7 @@
 
 	"quetzalhub/refuser"
 	"quetzalhub/schema"
+	"quetzalhub/verifier"
 )
 
 // Audit compares the outcomes reported to callers with how often each request
@@ -37,13 +38,14 @@
 // FetchRunCounts reads the ledgers of the stand-in upstreams at the given
 // addresses and returns how often each request ran, by request id.
 func FetchRunCounts(ctx context.Context, addresses []string) (map[string]int, error) {
-	runs := map[string]int{}
+	runs, client := map[string]int{}, verifier.NewClient()
+	defer client.CloseIdleConnections()
 	for _, address := range addresses {
 		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/control/ledger", nil)
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
-		resp, err := http.DefaultClient.Do(req)
+		resp, err := client.Do(req)
 		if err != nil {
 			return nil, errors.Annotate(err, "reading ledger")
 		}
--- a/driver/driver.go
+++ b/driver/driver.go
@@ -27,6 +27,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"quetzalhub/verifier"
 )
 
 const (
@@ -124,11 +126,11 @@
 func Run(ctx context.Context, s Scenario) []Result {
 	client := &http.Client{
 		Timeout: s.Timeout,
-		Transport: &http.Transport{
+		Transport: verifier.NewTransport(&http.Transport{
 			MaxIdleConnsPerHost: maxIdlePerTarget,
 			DialContext:         (&net.Dialer{Timeout: s.Timeout}).DialContext,
 			DisableCompression:  true,
-		},
+		}),
 	}
 	started := time.Now()
 	var group sync.WaitGroup
--- a/standin/breaker/breaker.go
+++ b/standin/breaker/breaker.go
@@ -25,6 +25,8 @@
 	Reset
 	// CloseAndReset ends the answer in order and discards the connection then.
 	CloseAndReset
+	// CloseAndStall ends the answer in order and reads nothing more for a time.
+	CloseAndStall
 	// Stay leaves the connection open until the peer closes it.
 	Stay
 )
@@ -33,6 +35,9 @@
 // then, since a reset discards what is in transit.
 const resetDelay = 20 * time.Millisecond
 
+// stallTime is the time for which a stalled connection stays open.
+const stallTime = 3 * time.Second
+
 // Answer is a handler that sends the same bytes to each request, whatever they are.
 type Answer struct {
 	// Text is the answer with its head.
@@ -61,6 +66,10 @@
 	if a.Ended != nil {
 		a.Ended()
 	}
+	if a.Ending == CloseAndStall {
+		time.Sleep(stallTime)
+		return
+	}
 	// A connection that was discarded returns an error.
 	_, _ = io.Copy(io.Discard, input)
 }
@@ -70,7 +79,7 @@
 	if !ok {
 		return
 	}
-	if a.Ending == Close || a.Ending == CloseAndReset {
+	if a.Ending == Close || a.Ending == CloseAndReset || a.Ending == CloseAndStall {
 		_ = tcp.CloseWrite()
 	}
 	if a.Ending == Reset || a.Ending == CloseAndReset {
--- a/standin/upstream/upstream.go
+++ b/standin/upstream/upstream.go
@@ -33,6 +33,8 @@
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"quetzalhub/verifier"
 )
 
 // announceInterval is the time between two announcements.
@@ -94,7 +96,7 @@
 		options:       o,
 		slots:         make(chan struct{}, max(o.Slots, 1)),
 		started:       time.Now(),
-		client:        &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+		client:        &http.Client{Transport: verifier.NewTransport(&http.Transport{MaxIdleConnsPerHost: 256})},
 		requestCounts: map[string]int{},
 	}
 	u.serviceTime.Store(int64(o.ServiceTime))
--- a/storer/http.go
+++ b/storer/http.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"quetzalhub/verifier"
 )
 
 // maxObjectBytes is the size of the largest object that the platform accepts.
@@ -28,7 +30,7 @@
 	return &HTTP{
 		baseURL: "http://" + address + "/v1/objects/",
 		timeout: timeout,
-		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+		client:  &http.Client{Transport: verifier.NewTransport(&http.Transport{MaxIdleConnsPerHost: 4})},
 	}
 }
 
--- a/verifier/verifier.go
+++ b/verifier/verifier.go
@@ -3,11 +3,15 @@
 // A body without a stated length ends with its connection, and HTTP counts it as whole unless the
 // connection reports an error. HidesReset tells whether that error may have gone unseen.
 //
+// A Conn is a connection whose reads return that error, for clients that write and read at the same
+// time, as those of net/http do.
+//
 // # Usage
 //
 //	if verifier.EndsWithConnection(resp) && verifier.HidesReset(writeErr) {
 //		// The body may be a part of what the peer meant to send.
 //	}
+//	client := &http.Client{Transport: verifier.NewTransport(&http.Transport{})}
 package verifier
 
 import (
