Take no answer with an invalid head in clients of net/http

What callers saw: not seen by a user; found by checking the other places that read answers. quetzalctl showed an answer with status 000 as that of a node. A health check passed and an answer of the store counted although a field had a blank in its name, so that the time for which an upstream stays cold, or the era of the store, was missing from it. Calls between nodes, the operator's object store, quetzal-load and its audit took such answers too.

Cause: net/http checks neither the range of a status nor blanks in names, and only the Transporter did.

Change: a transport of verifier.NewTransport, which all clients of net/http use, checks the head of each response like the Transporter and returns an error. The connection is not used again: one without a body is in the pool by then, so that the idle ones are closed.

Evidence: without the check these cases fail: 7 of 15 of TestHeads in verifier, 3 of 9 of TestBrokenAnswers in caller, 3 of 9 of that in storer, 4 of 8 of that in quetzalctl, 3 of 6 of that in driver and 4 of 7 of TestOddNamesElsewhere in platform (health checks and store; the status was checked there before). TestConnectionAfterInvalidHead failed without the closing of idle connections. All pass now.

--- a/verifier/transport.go
+++ b/verifier/transport.go
@@ -6,8 +6,8 @@
 	"net/http"
 )
 
-// NewTransport returns a copy of a transport that returns no part of a response as a whole one. Its
-// connections are of type Conn.
+// NewTransport returns a copy of a transport that returns no broken responses as whole ones. It
+// checks their heads, and its connections are of type Conn.
 func NewTransport(t *http.Transport) http.RoundTripper {
 	t = t.Clone()
 	dial := t.DialContext
@@ -21,7 +21,25 @@
 		}
 		return &Conn{Conn: conn}, nil
 	}
-	return t
+	return transport{t}
+}
+
+// transport checks the heads of responses.
+type transport struct{ *http.Transport }
+
+// RoundTrip makes a call. A response with an invalid head is an error.
+func (t transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := CheckHead(resp); err != nil {
+		_ = resp.Body.Close()
+		// A response without a body has returned its connection to the pool.
+		t.CloseIdleConnections()
+		return nil, err
+	}
+	return resp, nil
 }
 
 // NewClient returns a client that makes calls like http.DefaultClient, over such a transport.
