Reset connections of HTTP/1.0 callers if an answer breaks off

What callers saw: not seen by a user; found by sending the broken answers to callers of all versions. A caller of HTTP/1.0, or an upstream that makes its calls so, got a part of an answer as a complete one if an upstream broke off an answer without a length or in chunks.

Cause: the node closes the connection of its caller if an answer breaks off. In HTTP/1.1 the last chunk is missing then. HTTP/1.0 has no chunks, and to its callers the end of the connection is the end of the body.

Change: such a connection is reset, below TLS if there is any, so that the caller's read fails. The connections of HTTP/1.1 end as before. copyBody returns its error, so that one place decides how a connection ends.

--- a/forwarder/entry.go
+++ b/forwarder/entry.go
@@ -131,7 +131,7 @@
 		return
 	}
 	defer response.end()
-	writeResponse(w, response.Response)
+	writeResponse(w, r, response.Response)
 	elapsed := time.Since(started)
 	if e.ObserveLatency != nil {
 		e.ObserveLatency(elapsed)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -19,7 +19,9 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"sync"
@@ -162,17 +164,39 @@
 	return &b
 }}
 
-// writeResponse writes a response to the caller. If the body is truncated, the
+// writeResponse writes a response to the caller of a request. If the body is truncated, the
 // connection is aborted so that the caller cannot take it for complete.
-func writeResponse(w http.ResponseWriter, resp *Response) {
+func writeResponse(w http.ResponseWriter, r *http.Request, resp *Response) {
 	defer resp.Body.Close()
 	copyResponseHeader(w.Header(), resp.Header)
 	w.WriteHeader(resp.Status)
-	copyBody(w, resp.Body, resp.Length < 0)
+	if err := copyBody(w, resp.Body, resp.Length < 0); err != nil {
+		if !r.ProtoAtLeast(1, 1) {
+			resetConnection(w)
+		}
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// resetConnection discards the connection of a caller to which the end of a connection is that of
+// a body.
+func resetConnection(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if c, ok := conn.(*tls.Conn); ok {
+		// Closing it would state that the body has ended.
+		conn = c.NetConn()
+	}
+	if c, ok := conn.(*net.TCPConn); ok {
+		_ = c.SetLinger(0)
+	}
+	_ = conn.Close()
 }
 
 // copyBody copies a body. If flush is true, it flushes after each read.
-func copyBody(w http.ResponseWriter, body io.Reader, flush bool) {
+func copyBody(w http.ResponseWriter, body io.Reader, flush bool) error {
 	buffer := bufferPool.Get().(*[]byte)
 	defer bufferPool.Put(buffer)
 	controller := http.NewResponseController(w)
@@ -180,14 +204,14 @@
 		n, err := body.Read(*buffer)
 		if n > 0 {
 			if _, writeErr := w.Write((*buffer)[:n]); writeErr != nil {
-				panic(http.ErrAbortHandler)
+				return writeErr
 			}
 		}
 		if err == io.EOF {
-			return
+			return nil
 		}
 		if err != nil {
-			panic(http.ErrAbortHandler)
+			return err
 		}
 		if flush {
 			_ = controller.Flush()
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -288,7 +288,7 @@
 	}
 	defer r.options.Fencer.End(id)
 	r.isolator.clear(rc, req)
-	r.sendResponse(w, rc, resp)
+	r.sendResponse(w, req, rc, resp)
 	r.recordOutcome(rc, time.Since(entered), resp.StatusCode < http.StatusMultipleChoices)
 }
 
@@ -418,14 +418,14 @@
 }
 
 // sendResponse returns the response of the upstream with a report.
-func (r *Relay) sendResponse(w http.ResponseWriter, rc *relayCall, resp *http.Response) {
+func (r *Relay) sendResponse(w http.ResponseWriter, req *http.Request, rc *relayCall, resp *http.Response) {
 	report := r.report(rc)
 	report.Outcome = schema.Outcome_OUTCOME_ANSWERED
 	response := &Response{Status: resp.StatusCode, Header: resp.Header, Body: resp.Body, Length: resp.ContentLength, Report: report}
 	r.setReport(w.Header(), resp.Header, rc, report)
 	rc.loan.Take(responseBytes(response))
 	defer limitWrites(w, response, rc.request.Deadline)()
-	writeResponse(w, response)
+	writeResponse(w, req, response)
 }
 
 // report returns the unused retries and the shedding level of a call. It drains
