--- a/transporter/early_test.go
+++ b/transporter/early_test.go
@@ -54,8 +54,16 @@
 		"part in chunks that ends":            {ok + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", breaker.Close, true},
 		"part in chunks that ends in a reset": {ok + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", breaker.CloseAndReset, true},
 	}
+	uploads := map[string]func(*http.Request){
+		"at once":   func(req *http.Request) { req.ContentLength = uploadLength },
+		"in chunks": func(req *http.Request) { req.ContentLength = -1 },
+		"on demand": func(req *http.Request) {
+			req.ContentLength = uploadLength
+			req.Header.Set("Expect", "100-continue")
+		},
+	}
 	for name, c := range cases {
-		for kind, asks := range map[string]bool{"at once": false, "on demand": true} {
+		for kind, prepare := range uploads {
 			t.Run(kind+", "+name, func(t *testing.T) {
 				g := NewWithT(t)
 				server := httptest.NewServer(breaker.Answer{Text: c.answer, Ending: c.ending, Reads: 64 << 10})
@@ -64,10 +72,7 @@
 				defer cancel()
 				req, err := http.NewRequestWithContext(ctx, http.MethodPost, server.URL, io.LimitReader(&countingBody{}, uploadLength))
 				g.Expect(err).NotTo(HaveOccurred())
-				req.ContentLength = uploadLength
-				if asks {
-					req.Header.Set("Expect", "100-continue")
-				}
+				prepare(req)
 				text, err := readEarly(transporter.New(nil), req)
 				g.Expect(ctx.Err()).NotTo(HaveOccurred(), "the request lasted until its deadline")
 				if c.broken {
