verifier: export checks instead of their parts

CheckEnd takes the place of EndsWithConnection and HidesReset, which callers had to join, and the connection of NewTransport is not exported. No change of behaviour.

--- a/forwarder/early_test.go
+++ b/forwarder/early_test.go
@@ -3,9 +3,7 @@
 import (
 	"io"
 	"net/http"
-	"strings"
 	"testing"
-	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -13,34 +11,8 @@
 	"quetzalhub/standin/breaker"
 )
 
-// upload is a body whose second half is sent once the upstream has ended its connection.
-type upload struct {
-	first, second io.Reader
-	ended         <-chan struct{}
-}
-
-const (
-	halfUpload = 64 << 10
-	// uploadPatience is the time after which the second half is sent in any case.
-	uploadPatience = 2 * time.Second
-)
-
-func newUpload(ended <-chan struct{}) *upload {
-	half := strings.Repeat("x", halfUpload)
-	return &upload{strings.NewReader(half), strings.NewReader(half), ended}
-}
-
-// Read reads from the body.
-func (u *upload) Read(p []byte) (int, error) {
-	if n, err := u.first.Read(p); err == nil {
-		return n, nil
-	}
-	select {
-	case <-u.ended:
-	case <-time.After(uploadPatience):
-	}
-	return u.second.Read(p)
-}
+// halfUpload is more than a node keeps of a body in these tests.
+const halfUpload = 64 << 10
 
 // passOn is an upstream that passes its requests on through its node and returns the answers.
 func passOn(local string) http.Handler {
@@ -89,7 +61,7 @@
 				c.answer.Reads, c.answer.Ended = halfUpload/2, func() { close(ended) }
 				m.addNode("files", func(string) http.Handler { return c.answer })
 				m.join()
-				req, err := http.NewRequest(http.MethodPost, m.nodes[0].callers.URL+path, newUpload(ended))
+				req, err := http.NewRequest(http.MethodPost, m.nodes[0].callers.URL+path, breaker.NewUpload(halfUpload, ended))
 				g.Expect(err).NotTo(HaveOccurred())
 				req.ContentLength = 2 * halfUpload
 				req.Header.Set("Authorization", "Bearer "+secret)
--- a/transporter/transporter.go
+++ b/transporter/transporter.go
@@ -315,8 +315,8 @@
 			}
 			continue
 		}
-		if verifier.EndsWithConnection(resp) && verifier.HidesReset(writeErr) {
-			return nil, errors.Join(writeErr, errors.New("the end of the response is not known"))
+		if err := verifier.CheckEnd(resp, writeErr); err != nil {
+			return nil, errors.Join(writeErr, err)
 		}
 		c.input.remaining = math.MaxInt64
 		resp.Close = resp.Close || writeErr != nil
--- a/verifier/conn.go
+++ b/verifier/connection.go
@@ -7,9 +7,9 @@
 	"time"
 )
 
-// Conn is a connection whose reads return a reset that a write has got. Reads and writes may run
+// connection is a connection whose reads return a reset that a write has got. Reads and writes may run
 // at the same time.
-type Conn struct {
+type connection struct {
 	net.Conn
 
 	// mu is held while a write is under way and protects lost.
@@ -19,18 +19,18 @@
 }
 
 // Write writes to the connection.
-func (c *Conn) Write(p []byte) (int, error) {
+func (c *connection) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n, err := c.Conn.Write(p)
-	if HidesReset(err) {
+	if hidesReset(err) {
 		c.lost = err
 	}
 	return n, err
 }
 
 // Read reads from the connection.
-func (c *Conn) Read(p []byte) (int, error) {
+func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if err == io.EOF {
 		err = c.endError()
@@ -39,7 +39,7 @@
 }
 
 // endError returns io.EOF, or the error for which a read has returned it.
-func (c *Conn) endError() error {
+func (c *connection) endError() error {
 	if !c.mu.TryLock() {
 		// The write that is under way may have got the error. It is interrupted, since the peer
 		// sends nothing more.
--- a/verifier/transport.go
+++ b/verifier/transport.go
@@ -6,8 +6,7 @@
 	"net/http"
 )
 
-// NewTransport returns a copy of a transport that returns no broken responses as whole ones. It
-// checks their heads, and its connections are of type Conn.
+// NewTransport returns a copy of a transport that returns no broken responses as whole ones.
 func NewTransport(t *http.Transport) http.RoundTripper {
 	t = t.Clone()
 	dial := t.DialContext
@@ -19,7 +18,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &Conn{Conn: conn}, nil
+		return &connection{Conn: conn}, nil
 	}
 	return transport{t}
 }
@@ -42,7 +41,7 @@
 	return resp, nil
 }
 
-// NewClient returns a client that makes calls like http.DefaultClient, over such a transport.
+// NewClient returns a client that makes calls like http.DefaultClient, but returns no broken responses as whole ones.
 func NewClient() *http.Client {
 	return &http.Client{Transport: NewTransport(http.DefaultTransport.(*http.Transport))}
 }
--- a/verifier/verifier.go
+++ b/verifier/verifier.go
@@ -1,17 +1,22 @@
 // Package verifier keeps broken responses from being taken for whole ones.
 //
-// A body without a stated length ends with its connection, and HTTP counts it as whole unless the
-// connection reports an error. HidesReset tells whether that error may have gone unseen.
-//
-// A Conn is a connection whose reads return that error, for clients that write and read at the same
-// time, as those of net/http do.
+// CheckHead finds heads that net/http accepts but HTTP does not allow. CheckEnd finds bodies that may
+// be a part of what the peer meant to send: a body without a stated length ends with its
+// connection, and HTTP counts it as whole unless the connection reports an error, which may have
+// gone to the write of the request. NewTransport makes both checks for clients of net/http, which
+// write and read at the same time.
 //
 // # Usage
 //
-//	if verifier.EndsWithConnection(resp) && verifier.HidesReset(writeErr) {
-//		// The body may be a part of what the peer meant to send.
-//	}
 //	client := &http.Client{Transport: verifier.NewTransport(&http.Transport{})}
+//
+// A client that writes its request before it reads the response calls the checks itself:
+//
+//	writeErr := req.Write(conn)
+//	resp, err := http.ReadResponse(reader, req)
+//	if err == nil {
+//		err = errors.Join(verifier.CheckHead(resp), verifier.CheckEnd(resp, writeErr))
+//	}
 package verifier
 
 import (
@@ -20,17 +25,26 @@
 	"syscall"
 )
 
-// EndsWithConnection reports whether only the end of the connection marks the end of the body of
+// CheckEnd returns an error if the end of the body of a response can't be told from a reset of its
+// connection, given the error with which the write of its request ended, or nil.
+func CheckEnd(resp *http.Response, writeErr error) error {
+	if endsWithConnection(resp) && hidesReset(writeErr) {
+		return errors.New("the end of the response is not known")
+	}
+	return nil
+}
+
+// endsWithConnection reports whether only the end of the connection marks the end of the body of
 // a response.
-func EndsWithConnection(resp *http.Response) bool {
+func endsWithConnection(resp *http.Response) bool {
 	return resp.Body != http.NoBody && resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
 
-// HidesReset reports whether a connection may have been reset before the peer had ended it,
+// hidesReset reports whether a connection may have been reset before the peer had ended it,
 // given the error of a write. A socket reports its error once: after a write has got it, reads
 // return io.EOF. EPIPE means that the peer had ended the connection before, so that io.EOF
 // is the end of what it sent.
-func HidesReset(writeErr error) bool {
+func hidesReset(writeErr error) bool {
 	var errno syscall.Errno
 	return errors.As(writeErr, &errno) && errno != syscall.EPIPE
 }
