verifier: test resets and ends over TLS too

Calls between native nodes use TLS, and crypto/tls returns io.EOF for a connection that ends between two records, like a plain one.

--- a/standin/breaker/breaker.go
+++ b/standin/breaker/breaker.go
@@ -8,6 +8,7 @@
 package breaker
 
 import (
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -75,6 +76,12 @@
 }
 
 func (a Answer) end(conn net.Conn) {
+	if c, ok := conn.(*tls.Conn); ok {
+		if a.Ending != Reset && a.Ending != Stay {
+			_ = c.CloseWrite()
+		}
+		conn = c.NetConn()
+	}
 	tcp, ok := conn.(*net.TCPConn)
 	if !ok {
 		return
