supervisor: use an instance only if a report names its service

Cause: a process that knew of no instance took the first one that a health check found for its own, unless a check had found the address vacant. A silent host refuses nothing, so that rule did not apply; nor did it after a start with earlier settings. A health check states no service. The log shows upstream_confirmed with the new ID before any report; the settings and late reports are ruled out by it.

Change: the supervisor keeps the latest statement of each ID, own or of another service, and uses an instance only if one names it for the service of the node. The node keeps the latest statement in its directory entry, beside the last departure, so that a restart beside a running upstream takes no longer. A departure that could not be kept is written again as well. ErrAddressVacant has no use any more.

--- a/attacher/attacher.go
+++ b/attacher/attacher.go
@@ -55,6 +55,8 @@
 	Address string
 	// Left is the instance of the upstream beside the node that left last, if any.
 	Left Departure
+	// Stated is what the upstream beside the node has stated last, if anything.
+	Stated supervisor.Statement
 }
 
 // Departure is an instance of an upstream that has announced that it leaves. Born is its
--- a/attacher/node.go
+++ b/attacher/node.go
@@ -111,7 +111,7 @@
 	loops := []func(context.Context){
 		settingsReloader.run, n.connections.run,
 		p.Reporter.Run, p.Fleet.beaconer.Run, p.Fleet.balancer.Run, p.Fleet.shedder.Run, p.Fleet.configWatcher.run, p.Fleet.evacuations.run, p.Caller.Run,
-		p.Supervisor.Run, entryRegistrar.run, holds.run, costs.run,
+		p.Supervisor.Run, entryRegistrar.run, p.Departures.run, holds.run, costs.run,
 	}
 	for _, loop := range loops {
 		n.group.Go(func() { loop(ctx) })
@@ -228,11 +228,13 @@
 	for time.Now().Before(at(shutdownFraction)) && n.hasActiveRequests() {
 		time.Sleep(activeCheckInterval)
 	}
+	ctx, cancel := context.WithDeadline(context.Background(), at(shutdownFraction))
+	defer cancel()
 	if p.Supervisor.Draining() {
 		n.deregister()
+	} else if err := p.Departures.keepStatement(ctx); err != nil {
+		p.Reporter.Notice("statement_not_kept", "err", err)
 	}
-	ctx, cancel := context.WithDeadline(context.Background(), at(shutdownFraction))
-	defer cancel()
 	n.closing.Store(true)
 	for i, s := range append([]*nodeServer{n.callerServer}, n.internalServers...) {
 		// The connections of other nodes are closed after those of callers.
@@ -267,7 +269,7 @@
 func (n *Node) deregister() {
 	ctx, cancel := context.WithTimeout(context.Background(), deregisterTimeout)
 	defer cancel()
-	if err := n.parts.Platform.Directory.Deregister(ctx, n.parts.Settings.GetNode().GetName()); err != nil {
+	if err := n.parts.Departures.delist(ctx); err != nil {
 		n.parts.Reporter.Notice("not_delisted", "err", err)
 	}
 }
--- a/supervisor/confirmation.go
+++ b/supervisor/confirmation.go
@@ -62,6 +62,9 @@
 	if s.warmth.checkDue {
 		interval = checkInterval
 	}
+	if len(s.statements.byID) == 0 {
+		return false
+	}
 	return (!s.confirmed || s.warmth.checkDue) && !s.draining && time.Since(s.lastProbe) >= interval
 }
 
@@ -79,7 +82,6 @@
 		s.warmth.checks++
 		s.warmth.checkDue = began.Before(s.warmth.signAt)
 	}
-	s.vacated = s.vacated || errors.Is(err, ErrAddressVacant)
 	s.mu.Unlock()
 	if err != nil || health.ID == "" || !s.isValidID(health.ID, "health check") {
 		return
@@ -89,31 +91,16 @@
 	}
 }
 
-// isOwn reports whether an instance that a health check has found belongs to the service of
-// the node. An address goes to an instance of another service some time after its last
-// one has ended, so an instance that was not there when the node started must be
-// reported first. The caller holds the lock.
-func (s *Supervisor) isOwn(id string) bool {
-	switch {
-	case id == s.foreign.id:
-		return false
-	case id == s.current.id:
-		return true
-	default:
-		return s.current == (instance{}) && !s.vacated
-	}
-}
-
 // confirm records that an upstream is healthy. It returns false if that upstream is
 // leaving, or may belong to another service.
 func (s *Supervisor) confirm(h Health, began time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.isOwn(h.ID) {
-		s.options.Reporter.Event("upstream_unreported", "upstream", h.ID, "before", s.current.id, "foreign", h.ID == s.foreign.id)
+		s.options.Reporter.Event("upstream_unreported", "upstream", h.ID, "before", s.current.id, "stated", s.statements.byID[h.ID].Service)
 		return false
 	}
-	found := instance{id: h.ID}
+	found := s.statements.byID[h.ID].instance()
 	if s.current.id == h.ID {
 		found = s.current
 	}
--- a/supervisor/fleet_test.go
+++ b/supervisor/fleet_test.go
@@ -73,6 +73,7 @@
 	defer h.mu.Unlock()
 	if h.cancel != nil {
 		h.cancel()
+		s.Recall(h.process.Stated())
 	}
 	h.process, h.cancel, h.pooled = s, cancel, -1
 	go s.Run(ctx)
--- /dev/null
+++ b/supervisor/statements.go
@@ -0,0 +1,110 @@
+package supervisor
+
+import "time"
+
+// maxStatements is the number of instances whose statements are kept. The oldest ones are
+// removed first.
+const maxStatements = 8
+
+// Statement is what an instance has stated in a report: which one it is, and its service.
+// Nothing else tells the service of an instance. A health check tells the ID of the instance
+// at an address, and its path may be that of all services.
+type Statement struct {
+	ID      string
+	Born    int64
+	Service string
+}
+
+// statement is the latest Statement of an ID.
+type statement struct {
+	Statement
+	sequence uint64
+	at       time.Time
+	// recalled is true until a report has come to this process. The instance may have
+	// started anew since, so its start time counts as unknown.
+	recalled bool
+}
+
+// instance returns the instance that a health check with this ID has found.
+func (s statement) instance() instance {
+	if s.recalled {
+		return instance{id: s.ID}
+	}
+	return instance{s.ID, s.Born}
+}
+
+// statements holds the latest statement of each ID, and that of the instance that has
+// started last.
+type statements struct {
+	byID   map[string]statement
+	latest statement
+}
+
+// add records a statement unless a report of a later start, or a later report, came first. A
+// start time that is lower than the one before is accepted after patience, since the clock
+// of a host may have been set back. It reports whether the statement was recorded.
+func (l *statements) add(next statement, patience time.Duration) bool {
+	isLate := func(before statement) bool {
+		return next.Born < before.Born && next.at.Sub(before.at) < patience
+	}
+	before, ok := l.byID[next.ID]
+	if ok && (isLate(before) || !before.recalled && next.Born == before.Born && next.sequence <= before.sequence) {
+		return false
+	}
+	if l.byID == nil {
+		l.byID = map[string]statement{}
+	}
+	l.byID[next.ID] = next
+	if next.ID == l.latest.ID || !isLate(l.latest) {
+		l.latest = next
+	}
+	l.removeOldest()
+	return true
+}
+
+func (l *statements) removeOldest() {
+	if len(l.byID) <= maxStatements {
+		return
+	}
+	oldest := l.latest
+	for _, s := range l.byID {
+		if s.at.Before(oldest.at) {
+			oldest = s
+		}
+	}
+	delete(l.byID, oldest.ID)
+}
+
+// Recall applies what an earlier process of the node has kept of Stated. The instance is
+// used once a health check has found it.
+func (s *Supervisor) Recall(kept Statement) {
+	if kept.Service == "" || !s.isValidID(kept.ID, "recalled") {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.statements.byID[kept.ID]; !ok {
+		s.statements.add(statement{Statement: kept, at: time.Now(), recalled: true}, s.silenceTimeout())
+	}
+}
+
+// Stated returns what the instance that started last has stated, or an empty statement.
+func (s *Supervisor) Stated() Statement {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.statements.latest.Statement
+}
+
+// isOwn reports whether an instance that a health check has found belongs to the service of
+// the node. The caller holds the lock.
+func (s *Supervisor) isOwn(id string) bool { return s.statements.byID[id].Service == s.options.Service }
+
+// record records what a report states. An instance that was not known before is checked at
+// once. The caller holds the lock.
+func (s *Supervisor) record(r Report, now time.Time) {
+	stated := Statement{r.ID, r.Born, r.Service}
+	isKnown := s.statements.byID[r.ID].Statement == stated
+	if s.statements.add(statement{Statement: stated, sequence: r.Sequence, at: now}, s.silenceTimeout()) && !isKnown && !s.confirmed {
+		s.lastProbe = time.Time{}
+	}
+}
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -4,9 +4,9 @@
 // An upstream sends a report at intervals and a notice when it leaves. Reports may
 // arrive late, twice, or from an earlier instance. An instance is identified by
 // its identifier and its start time, and its reports carry a sequence number. An
-// instance that has left is never used again. A node that has just started does
-// not know earlier reports, so it uses an upstream only after a health check has
-// confirmed it. What earlier processes of the node have learned comes from the Memory.
+// instance that has left is never used again. A node uses an upstream only after a report
+// has stated its service and a health check has confirmed it. What earlier processes of the
+// node have learned comes from Recall and from the Memory.
 //
 // An upstream may also state in its responses that it leaves, or how many requests
 // per second it accepts.
@@ -95,14 +95,10 @@
 // yet.
 var ErrNoHealthCheck = errors.New("health check is not configured yet")
 
-// ErrAddressVacant means that nothing listens at the address of an upstream.
-var ErrAddressVacant = errors.New("nothing listens at the address of the upstream")
-
 // Prober checks the health of an upstream.
 type Prober interface {
 	// Probe returns what a healthy upstream states about itself. It returns
-	// ErrNoHealthCheck if the health check is not configured yet, and ErrAddressVacant if
-	// nothing listens at the address.
+	// ErrNoHealthCheck if the health check is not configured yet.
 	Probe(ctx context.Context, address string) (Health, error)
 }
 
@@ -176,11 +172,8 @@
 	trustReports bool
 	// reported is true once a report has named the service of the current instance. A
 	// health check states no service.
-	reported bool
-	// vacated is true once a health check has found that nothing listens at the address.
-	vacated bool
-	// foreign is the instance that was last reported for another service.
-	foreign      instance
+	reported     bool
+	statements   statements
 	lastProbe    time.Time
 	failureRatio float64
 	// lastOutcome is the time of the last update of failureRatio.
@@ -216,12 +209,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	reported := instance{r.ID, r.Born}
+	now := time.Now()
+	s.record(r, now)
 	left, foreign := s.options.Memory.Departed(r.ID, r.Born), r.Service != s.options.Service
 	if left || foreign {
 		s.options.Reporter.Notice("report_ignored", "upstream", r.ID, "born", r.Born, "service", r.Service, "left", left)
 		return foreign && s.rejectForeign(reported)
 	}
-	now := time.Now()
 	if reported != s.current {
 		if r.Born < s.current.born && now.Sub(s.lastSeen) < s.silenceTimeout() {
 			s.options.Reporter.Notice("report_of_earlier_start", "upstream", r.ID, "born", r.Born, "current", s.current.id)
@@ -238,9 +232,6 @@
 	ready := s.ready()
 	s.suspectUnnoticed(now)
 	s.reported = true
-	if s.foreign.id == r.ID {
-		s.foreign = instance{}
-	}
 	s.lastSequence, s.lastSeen, s.warmth.heardAt = r.Sequence, now, now
 	if !r.ColdUnknown {
 		s.reportedCold(r.Cold, now)
@@ -255,12 +246,11 @@
 	return ready != s.ready()
 }
 
-// rejectForeign records that an instance belongs to another service. It reports whether the
-// upstream stopped accepting requests: a health check may have found that instance at the
-// address. A report of the same ID for the service of the node has precedence, since
-// reports may come from other writers. The caller holds the lock.
+// rejectForeign stops the use of an instance that belongs to another service. It reports
+// whether the upstream stopped accepting requests: a health check may have found that
+// instance at the address. A report of the same ID for the service of the node has
+// precedence, since reports may come from other writers. The caller holds the lock.
 func (s *Supervisor) rejectForeign(i instance) bool {
-	s.foreign = i
 	if s.current.id != i.id || s.reported {
 		return false
 	}
--- a/supervisor/warmth_test.go
+++ b/supervisor/warmth_test.go
@@ -121,6 +121,7 @@
 			Warmups: warmups(w), Bound: supervisor.Bound{Ratio: 1.5, Margin: 8},
 		})
 		c.freeze = cancel
+		c.Recall(supervisor.Statement{ID: "a", Born: 10, Service: "orders"})
 		go c.Run(ctx)
 		time.Sleep(100 * time.Millisecond)
 		test(g, c)
