supervisor: let a departure bind the start that it is the first sign of

Cause: a departure took effect only if it named ID and start time of the current instance. A health check states no start time, so the node went on with the earlier start, whose ID the new one has too. The log shows upstream_confirmed for that ID and no upstream_leaving; the departure was recorded, and no request was sent late from a queue.

Change: a departure binds what stands at the address unless it names a start that was reported before the current one. A later start of the ID drains. After an earlier start that was never reported (a clock set back, or a late message) the upstream is used again once the current start has reported and a health check found it. Draining reports take the same way whatever their start time and sequence number; they were acknowledged and dropped. A departure without a start time gets the reported one, also in the directory entry. Health checks no longer prolong the time for which a lower start time counts as late.

--- a/supervisor/confirmation.go
+++ b/supervisor/confirmation.go
@@ -102,6 +102,9 @@
 	}
 	found := s.statements.byID[h.ID].instance()
 	if s.current.id == h.ID {
+		if s.doubted || began.Before(s.settledAt) {
+			return false
+		}
 		found = s.current
 	}
 	if h.Status.Leaving {
--- a/supervisor/statements.go
+++ b/supervisor/statements.go
@@ -1,6 +1,9 @@
 package supervisor
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // maxStatements is the number of instances whose statements are kept. The oldest ones are
 // removed first.
@@ -23,6 +26,8 @@
 	// recalled is true until a report has come to this process. The instance may have
 	// started anew since, so its start time counts as unknown.
 	recalled bool
+	// superseded holds the start times that were stated before, the latest one last.
+	superseded []int64
 }
 
 // instance returns the instance that a health check with this ID has found.
@@ -54,6 +59,11 @@
 	if l.byID == nil {
 		l.byID = map[string]statement{}
 	}
+	next.superseded = before.superseded
+	if ok && before.Born != next.Born {
+		next.superseded = append(slices.Clone(next.superseded), before.Born)
+		next.superseded = next.superseded[max(0, len(next.superseded)-maxSuperseded):]
+	}
 	l.byID[next.ID] = next
 	if next.ID == l.latest.ID || !isLate(l.latest) {
 		l.latest = next
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -162,7 +162,9 @@
 	warmth       warmth
 	losses       losses
 	lastSeen     time.Time
-	draining     bool
+	// reportedAt is when the current start was last stated.
+	reportedAt time.Time
+	draining   bool
 	// confirmed is true once a health check has found the current instance healthy,
 	// or at its first report if trustReports is set. It becomes false when the
 	// instance is unreachable, silent or replaced at its address.
@@ -172,8 +174,12 @@
 	trustReports bool
 	// reported is true once a report has named the service of the current instance. A
 	// health check states no service.
-	reported     bool
-	statements   statements
+	reported   bool
+	statements statements
+	// doubted is true while only a report of the current instance can prove that it is
+	// there. A health check confirms it if it began after settledAt.
+	doubted      bool
+	settledAt    time.Time
 	lastProbe    time.Time
 	failureRatio float64
 	// lastOutcome is the time of the last update of failureRatio.
@@ -217,9 +223,9 @@
 		return foreign && s.rejectForeign(reported)
 	}
 	if reported != s.current {
-		if r.Born < s.current.born && now.Sub(s.lastSeen) < s.silenceTimeout() {
+		if r.Born < s.current.born && now.Sub(s.reportedAt) < s.silenceTimeout() {
 			s.options.Reporter.Notice("report_of_earlier_start", "upstream", r.ID, "born", r.Born, "current", s.current.id)
-			return false
+			return r.Draining && s.leave(reported, "reported")
 		}
 		found := s.current == instance{id: r.ID}
 		s.replaceInstance(reported, now)
@@ -227,11 +233,12 @@
 			s.setCold(now.Add(s.warmup().Time), "started", now)
 		}
 	} else if r.Sequence <= s.lastSequence {
-		return false
+		return r.Draining && s.leave(reported, "reported")
 	}
 	ready := s.ready()
 	s.suspectUnnoticed(now)
-	s.reported = true
+	s.settleDoubt(now)
+	s.reported, s.reportedAt = true, now
 	s.lastSequence, s.lastSeen, s.warmth.heardAt = r.Sequence, now, now
 	if !r.ColdUnknown {
 		s.reportedCold(r.Cold, now)
@@ -277,7 +284,7 @@
 	}
 	s.options.Reporter.Notice("upstream_started", "upstream", next.id, "born", next.born, "before", s.current.id)
 	s.confirmed = s.confirmed && sameInstance || s.trustReports
-	s.draining, s.reported = s.draining && sameInstance, false
+	s.draining, s.reported, s.doubted = s.draining && sameInstance, false, false
 	s.current, s.lastSequence, s.lastSeen, s.failureRatio = next, 0, now, 0
 	s.rejections = rejections{}
 	s.warmth.heardAt = now
@@ -309,34 +316,6 @@
 	}
 }
 
-// Leave records that an instance of the upstream is leaving.
-func (s *Supervisor) Leave(id string, born int64) {
-	if !s.isValidID(id, "leave") {
-		return
-	}
-	s.mu.Lock()
-	if born == 0 && s.current.id == id {
-		born = s.current.born
-	}
-	changed := s.leave(instance{id, born}, "announced by upstream")
-	s.mu.Unlock()
-	if changed {
-		s.options.OnChange()
-	}
-}
-
-// leave records the departure of an instance. It reports whether the upstream stopped
-// accepting requests. The caller holds the lock.
-func (s *Supervisor) leave(leaving instance, reason string) bool {
-	s.options.Memory.RecordDeparture(leaving.id, leaving.born)
-	if s.draining || leaving != s.current && s.current != (instance{id: leaving.id}) {
-		return false
-	}
-	s.options.Memory.RecordDeparture(s.current.id, s.current.born)
-	s.drain(reason)
-	return true
-}
-
 // Refresh applies what other nodes have remembered of the current instance.
 func (s *Supervisor) Refresh() {
 	s.mu.Lock()
