supervisor: count reports of starts before a departed one as late

An upstream that had left was used again: its departure was acknowledged while the node had not heard of its ID, or had restarted since, and a late report of an earlier start with that ID made that the current one. Requests name the ID, and the start that leaves accepts them.

Cause: a departure was recorded for its own start only, and told nothing about the starts before it.

Change: a departure is the first statement of its start, whether the ID is the current one or not; a recalled one too. Reports of earlier starts with that ID count as late for the usual time. The doubt about a start with a lower start time is settled only by a report that is too late to be one from before it.

The latter waits longer for its upstream, which is the price of the doubt.

go test ./supervisor ./attacher passes, and the tests of ./platform on departures, restarts, outages and reused addresses.

--- a/attacher/departures.go
+++ b/attacher/departures.go
@@ -14,7 +14,6 @@
 	"quetzalhub/schema"
 	"quetzalhub/storer"
 	"quetzalhub/supervisor"
-	"quetzalhub/witness"
 )
 
 const (
@@ -34,8 +33,7 @@
 type statedUpstream interface {
 	Stated() supervisor.Statement
 	Recall(supervisor.Statement)
-	// Refresh applies what the memory holds.
-	Refresh()
+	Leave(id string, born int64) int64
 }
 
 // departures keeps the departure of the upstream beside this node in the directory entry of
@@ -44,7 +42,6 @@
 // instance belongs to its service before the next report.
 type departures struct {
 	directory Directory
-	memory    supervisor.Memory
 	upstream  statedUpstream
 	reporter  supervisor.Reporter
 	// recalled is true once the entry has been read or can't be read.
@@ -63,9 +60,9 @@
 	isDelisted bool
 }
 
-func newDepartures(s *schema.Settings, p *Platform, w *witness.Witness, st *supervisor.Supervisor, r *reporter.Reporter) *departures {
+func newDepartures(s *schema.Settings, p *Platform, st *supervisor.Supervisor, r *reporter.Reporter) *departures {
 	self := Entry{Name: s.GetNode().GetName(), Address: s.GetNode().GetBeacon()}
-	return &departures{directory: p.Directory, memory: w, upstream: st, reporter: r, self: self, started: time.Now(), writing: make(chan struct{}, 1)}
+	return &departures{directory: p.Directory, upstream: st, reporter: r, self: self, started: time.Now(), writing: make(chan struct{}, 1)}
 }
 
 // run keeps what the upstream has stated until the context ends.
@@ -178,15 +175,14 @@
 		d.self.Stated = entry.Stated
 	}
 	d.mu.Unlock()
+	if entry.Left.ID != "" {
+		d.upstream.Leave(entry.Left.ID, entry.Left.Born)
+		d.reporter.Notice("departure_recalled", "upstream", entry.Left.ID, "born", entry.Left.Born)
+	}
 	if entry.Stated.ID != "" {
 		d.upstream.Recall(entry.Stated)
 		d.reporter.Notice("upstream_recalled", "upstream", entry.Stated.ID, "born", entry.Stated.Born, "service", entry.Stated.Service)
 	}
-	if entry.Left.ID != "" {
-		d.memory.RecordDeparture(entry.Left.ID, entry.Left.Born)
-		d.upstream.Refresh()
-		d.reporter.Notice("departure_recalled", "upstream", entry.Left.ID, "born", entry.Left.Born)
-	}
 	return nil
 }
 
--- a/supervisor/departures.go
+++ b/supervisor/departures.go
@@ -37,6 +37,7 @@
 // that is known to be over, or another ID: requests name the current one.
 func (s *Supervisor) leave(leaving instance, reason string) bool {
 	s.options.Memory.RecordDeparture(leaving.id, leaving.born)
+	s.statements.start(leaving, time.Now())
 	switch {
 	case s.draining || leaving.id != s.current.id:
 		return false
@@ -44,7 +45,6 @@
 		return false
 	case leaving.born > s.current.born:
 		now := time.Now()
-		s.statements.start(leaving, now)
 		s.replaceInstance(leaving, now)
 		s.reportedAt = now
 	case leaving.born < s.current.born && s.statements.isSuperseded(leaving):
@@ -62,25 +62,25 @@
 // holds the lock.
 func (s *Supervisor) doubt(leaving instance) bool {
 	ready := s.ready()
-	s.doubted = true
+	s.doubted, s.settledAt = true, time.Now().Add(s.silenceTimeout())
 	s.loseConfirmation("an unknown start with its ID leaves")
 	s.options.Reporter.Notice("upstream_doubted", "upstream", leaving.id, "born", s.current.born, "leaving", leaving.born)
 	return ready
 }
 
-// settleDoubt lets a health check that begins from now on confirm the current instance. The
-// caller holds the lock.
+// settleDoubt lets a health check confirm the current instance again, if a report of it is too
+// late to be one from before the departure. The caller holds the lock.
 func (s *Supervisor) settleDoubt(now time.Time) {
-	if s.doubted {
+	if s.doubted && now.After(s.settledAt) {
 		s.doubted, s.settledAt, s.lastProbe = false, now, time.Time{}
 	}
 }
 
-// start records a start that nothing but its departure has told. The service of its ID is
-// as stated before.
+// start records a start that a departure tells of, so that reports of earlier starts count as
+// late. The service is that of its ID, if that is known.
 func (l *statements) start(i instance, now time.Time) {
-	before, ok := l.byID[i.id]
-	if ok {
+	before := l.byID[i.id]
+	if i.born > before.Born {
 		l.add(statement{Statement: Statement{i.id, i.born, before.Service}, at: now}, 0)
 	}
 }
--- a/supervisor/statements.go
+++ b/supervisor/statements.go
@@ -38,6 +38,11 @@
 	return instance{s.ID, s.Born}
 }
 
+// isEarlier reports whether an instance started before the one of another statement.
+func (s statement) isEarlier(than statement, patience time.Duration) bool {
+	return s.Born < than.Born && s.at.Sub(than.at) < patience
+}
+
 // statements holds the latest statement of each ID, and that of the instance that has
 // started last.
 type statements struct {
@@ -45,15 +50,12 @@
 	latest statement
 }
 
-// add records a statement unless a report of a later start, or a later report, came first. A
-// start time that is lower than the one before is accepted after patience, since the clock
-// of a host may have been set back. It reports whether the statement was recorded.
+// add records a statement unless a report of a later start, or a later report, came first. It
+// reports whether the statement was recorded. A start time that is lower than the one
+// before is accepted after patience, since the clock of a host may have been set back.
 func (l *statements) add(next statement, patience time.Duration) bool {
-	isLate := func(before statement) bool {
-		return next.Born < before.Born && next.at.Sub(before.at) < patience
-	}
 	before, ok := l.byID[next.ID]
-	if ok && (isLate(before) || !before.recalled && next.Born == before.Born && next.sequence <= before.sequence) {
+	if ok && (next.isEarlier(before, patience) || !before.recalled && next.Born == before.Born && next.sequence <= before.sequence) {
 		return false
 	}
 	if l.byID == nil {
@@ -65,7 +67,7 @@
 		next.superseded = next.superseded[max(0, len(next.superseded)-maxSuperseded):]
 	}
 	l.byID[next.ID] = next
-	if next.ID == l.latest.ID || !isLate(l.latest) {
+	if next.Service != "" && (next.ID == l.latest.ID || !next.isEarlier(l.latest, patience)) {
 		l.latest = next
 	}
 	l.removeOldest()
@@ -93,7 +95,8 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, ok := s.statements.byID[kept.ID]; !ok {
+	if before := s.statements.byID[kept.ID]; before.Service == "" {
+		kept.Born = max(kept.Born, before.Born)
 		s.statements.add(statement{Statement: kept, at: time.Now(), recalled: true}, s.silenceTimeout())
 	}
 }
@@ -109,12 +112,14 @@
 // the node. The caller holds the lock.
 func (s *Supervisor) isOwn(id string) bool { return s.statements.byID[id].Service == s.options.Service }
 
-// record records what a report states. An instance that was not known before is checked at
-// once. The caller holds the lock.
-func (s *Supervisor) record(r Report, now time.Time) {
-	stated := Statement{r.ID, r.Born, r.Service}
-	isKnown := s.statements.byID[r.ID].Statement == stated
-	if s.statements.add(statement{Statement: stated, sequence: r.Sequence, at: now}, s.silenceTimeout()) && !isKnown && !s.confirmed {
+// record records what a report states. It returns false if the report is one of an earlier
+// start of its instance. An instance that was not known before is checked at once. The
+// caller holds the lock.
+func (s *Supervisor) record(r Report, now time.Time) bool {
+	next := statement{Statement: Statement{r.ID, r.Born, r.Service}, sequence: r.Sequence, at: now}
+	before := s.statements.byID[r.ID]
+	if s.statements.add(next, s.silenceTimeout()) && before.Statement != next.Statement && !s.confirmed {
 		s.lastProbe = time.Time{}
 	}
+	return !next.isEarlier(before, s.silenceTimeout())
 }
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -176,8 +176,8 @@
 	// health check states no service.
 	reported   bool
 	statements statements
-	// doubted is true while only a report of the current instance can prove that it is
-	// there. A health check confirms it if it began after settledAt.
+	// doubted is true while only a report after settledAt can prove that the current
+	// instance is there. Then a health check confirms it if it began after that report.
 	doubted      bool
 	settledAt    time.Time
 	lastProbe    time.Time
@@ -216,14 +216,14 @@
 	defer s.mu.Unlock()
 	reported := instance{r.ID, r.Born}
 	now := time.Now()
-	s.record(r, now)
+	isEarlier := !s.record(r, now)
 	left, foreign := s.options.Memory.Departed(r.ID, r.Born), r.Service != s.options.Service
 	if left || foreign {
 		s.options.Reporter.Notice("report_ignored", "upstream", r.ID, "born", r.Born, "service", r.Service, "left", left)
 		return foreign && s.rejectForeign(reported)
 	}
 	if reported != s.current {
-		if r.Born < s.current.born && now.Sub(s.reportedAt) < s.silenceTimeout() {
+		if isEarlier || r.Born < s.current.born && now.Sub(s.reportedAt) < s.silenceTimeout() {
 			s.options.Reporter.Notice("report_of_earlier_start", "upstream", r.ID, "born", r.Born, "current", s.current.id)
 			return r.Draining && s.leave(reported, "reported")
 		}
