--- a/supervisor/departures.go
+++ b/supervisor/departures.go
@@ -58,8 +58,8 @@
 
 // doubt stops the use of the current instance, since an earlier start with its ID leaves that
 // was never reported. The clock of the host may have been set back before that start, or
-// the departure may be late. The next report of the current instance tells. The caller
-// holds the lock.
+// the departure may be late. Reports of the current instance tell, but may be late
+// themselves. The caller holds the lock.
 func (s *Supervisor) doubt(leaving instance) bool {
 	ready := s.ready()
 	s.doubted, s.settledAt = true, time.Now().Add(s.silenceTimeout())
--- a/supervisor/holder.go
+++ b/supervisor/holder.go
@@ -70,9 +70,10 @@
 }
 
 // hold records the instance that a health check has found, which began at the given time. The
-// ID is empty if nothing answered; then the address is left in the end to its claimant if that
-// has started last, unless only an earlier process has heard of that. It reports whether the upstream stopped accepting
-// requests, since an instance of another service was found. The caller holds the lock.
+// ID is empty if nothing answered; then the address is left in the end to its claimant if
+// that has started last, unless only an earlier process has heard of it. hold reports
+// whether the upstream stopped accepting requests, since an instance of another service
+// was found. The caller holds the lock.
 func (s *Supervisor) hold(id string, began time.Time) bool {
 	claimant, isAnswered := s.holder.claimant, id != ""
 	switch {
