--- a/supervisor/supervisor_test.go
+++ b/supervisor/supervisor_test.go
@@ -254,81 +254,6 @@
 			{wait(20 * time.Second), none},
 			{report("a", 30, 1, false), ok},
 		},
-		"a start that leaves before its first report, under the ID of the one before": {
-			{report("a", 10, 1, false), none},
-			{healthy("a"), ok},
-			{observe(forwarder.Unreachable), ok},
-			{leave("a", 20), draining},
-			{report("a", 20, 1, false), draining},
-			{report("a", 10, 2, false), draining},
-			{wait(6 * time.Second), draining},
-			{report("a", 30, 1, false), ok},
-		},
-		"a start that leaves before its first report, after a restart of the node": {
-			{recalled("a", 10), none},
-			{healthy("a"), ok},
-			{leave("a", 20), draining},
-			{report("a", 20, 1, false), draining},
-			{report("a", 10, 2, false), draining},
-			{report("a", 30, 1, false), ok},
-		},
-		"a start with a clock that was set back leaves before its first report": {
-			{report("a", 20, 1, false), none},
-			{healthy("a"), ok},
-			{leave("a", 10), none},
-			{wait(6 * time.Second), none},
-			{report("a", 10, 1, false), none},
-			{wait(10 * time.Second), none},
-			{report("a", 10, 2, false), none},
-		},
-		"a start with a clock that was set back reports that it leaves": {
-			{report("a", 20, 1, false), none}, {healthy("a"), ok}, {report("a", 10, 1, true), none}, {wait(10 * time.Second), none}, {report("a", 10, 2, false), none},
-		},
-		"a start with a clock that was set back, in use after some time, leaves": {
-			{report("a", 20, 1, false), none},
-			{healthy("a"), ok},
-			{report("a", 10, 1, false), ok},
-			{wait(8 * time.Second), ok},
-			{report("a", 10, 9, false), ok},
-			{leave("a", 10), draining},
-			{report("a", 10, 10, false), draining},
-		},
-		"a late departure of an earlier start that was never reported": {
-			{report("a", 20, 1, false), none},
-			{healthy("a"), ok},
-			{leave("a", 10), none},
-			{report("a", 20, 1, false), none},
-			{report("a", 20, 2, false), none},
-			{wait(7 * time.Second), none},
-			{report("a", 20, 3, false), ok},
-		},
-		"a late departure of an earlier start": {
-			{report("a", 10, 1, false), none}, {healthy("a"), ok}, {report("a", 20, 1, false), ok}, {leave("a", 10), ok}, {report("a", 10, 9, true), ok},
-		},
-		"a late report of an earlier start after an unknown one has left": {
-			{leave("a", 20), none}, {report("a", 10, 1, false), none}, {healthy("a"), none}, {report("a", 10, 2, false), none}, {report("a", 30, 1, false), ok},
-		},
-		"a late report of an earlier start after a restart beside one that has left": {
-			{leave("a", 20), none}, {recalled("a", 20), none}, {healthy("a"), none}, {report("a", 10, 1, false), none}, {report("a", 20, 3, false), none},
-		},
-		"a draining report that a later report overtakes": {
-			{report("a", 10, 5, false), none}, {healthy("a"), ok}, {report("a", 10, 4, true), draining}, {report("a", 10, 6, false), draining},
-		},
-		"a draining report of an instance with a lower start time": {
-			{report("b", 20, 1, false), none},
-			{healthy("b"), ok},
-			{report("a", 10, 9, true), ok},
-			{healthy("a"), ok},
-			{observe(forwarder.Reassigned), none},
-			{wait(3 * time.Second), none},
-			{report("a", 10, 10, false), none},
-		},
-		"an instance that leaves without its start time before it is found": {
-			{report("a", 10, 1, false), none}, {leave("a", 0), draining}, {report("a", 10, 2, false), draining}, {healthy("a"), draining},
-		},
-		"an earlier instance that leaves without its start time": {
-			{report("b", 30, 1, false), none}, {report("a", 10, 1, false), none}, {leave("a", 0), none}, {healthy("a"), none}, {report("a", 10, 2, false), none},
-		},
 		"a report whose ID cannot be sent to other nodes": {
 			{recalled("a", 10), none}, {healthy("a"), ok}, {report(unreadableID, 10, 1, true), ok}, {report(unreadableID, 20, 1, false), ok}, {leave(unreadableID, 20), ok}, {report("a", 10, 1, false), ok},
 		},
@@ -340,28 +265,31 @@
 		},
 	}
 	for name, steps := range cases {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				g := NewWithT(t)
-				u := &upstream{}
-				s := supervisor.New(supervisor.Options{
-					Service: "orders", Interval: 1500 * time.Millisecond, Prober: u, Memory: witness.New(), Reporter: reporter.Discard{}, OnChange: func() {},
-				})
-				ctx, cancel := context.WithCancel(context.Background())
-				defer synctest.Wait()
-				defer cancel()
-				go s.Run(ctx)
-				for i, st := range steps {
-					st.action(s, u)
-					time.Sleep(500 * time.Millisecond)
-					_, code := s.UpstreamFor("orders")
-					g.Expect(code).To(Equal(st.code), "step %d", i)
-				}
-			})
-		})
+		t.Run(name, func(t *testing.T) { runSteps(t, steps) })
 	}
 }
 
+// runSteps takes steps with a supervisor of the service orders.
+func runSteps(t *testing.T, steps []step) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		u := &upstream{}
+		s := supervisor.New(supervisor.Options{
+			Service: "orders", Interval: 1500 * time.Millisecond, Prober: u, Memory: witness.New(), Reporter: reporter.Discard{}, OnChange: func() {},
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		go s.Run(ctx)
+		for i, st := range steps {
+			st.action(s, u)
+			time.Sleep(500 * time.Millisecond)
+			_, code := s.UpstreamFor("orders")
+			g.Expect(code).To(Equal(st.code), "step %d", i)
+		}
+	})
+}
+
 // lateProber returns ErrNoHealthCheck until configuredAt.
 type lateProber struct {
 	*upstream
@@ -427,6 +355,81 @@
 	})
 }
 
+// newSupervisor returns a running supervisor of an upstream that is healthy.
+func newSupervisor(ctx context.Context, memory supervisor.Memory) *supervisor.Supervisor {
+	s := supervisor.New(supervisor.Options{
+		Service: "orders", Interval: time.Second, Prober: &upstream{id: "a"}, Memory: memory, Reporter: reporter.Discard{}, OnChange: func() {},
+	})
+	s.Recall(supervisor.Statement{ID: "a", Born: 10, Service: "orders"})
+	go s.Run(ctx)
+	time.Sleep(time.Second)
+	return s
+}
+
+// TestRemembered guards against a node that, after a restart, uses an instance that has
+// left, or exceeds a rate limit that was stated before the restart.
+func TestRemembered(t *testing.T) {
+	cases := map[string]struct {
+		before, later func(w *witness.Witness)
+		code          refuser.Code
+		rate          float64
+	}{
+		"departure known at the start": {func(w *witness.Witness) { w.RecordDeparture("a", 10) }, nil, refuser.EndpointMissing, 0},
+		"departure learned later":      {nil, func(w *witness.Witness) { w.RecordDeparture("a", 10) }, refuser.Draining, 0},
+		"limit known at the start":     {func(w *witness.Witness) { w.RecordRate("a", 10, 7) }, nil, refuser.None, 7},
+		"limit learned later":          {nil, func(w *witness.Witness) { w.RecordRate("a", 10, 7) }, refuser.None, 7},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				ctx, cancel := context.WithCancel(context.Background())
+				defer synctest.Wait()
+				defer cancel()
+				memory := witness.New()
+				if c.before != nil {
+					c.before(memory)
+				}
+				s := newSupervisor(ctx, memory)
+				if c.later != nil {
+					c.later(memory)
+					s.Refresh()
+				}
+				_, code := s.UpstreamFor("orders")
+				g.Expect(code).To(Equal(c.code))
+				for _, e := range s.Endpoints() {
+					g.Expect(e.GetRate()).To(Equal(c.rate))
+				}
+			})
+		})
+	}
+}
+
+// TestRateLimitInForce guards against a limit that ends with a single response without
+// it, or that stays in force after the upstream has stopped stating it.
+func TestRateLimitInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
+		s := newSupervisor(ctx, witness.New())
+		rate := func() float64 { return s.Endpoints()[0].GetRate() }
+		s.ObserveStatus("a", 0, forwarder.UpstreamStatus{RateLimit: 12.5})
+		g.Expect(rate()).To(Equal(12.5))
+		s.ObserveStatus("a", 0, forwarder.UpstreamStatus{})
+		g.Expect(rate()).To(Equal(12.5), "responses may arrive out of order")
+		s.ObserveStatus("b", 0, forwarder.UpstreamStatus{RateLimit: 1})
+		g.Expect(rate()).To(Equal(12.5), "another instance")
+		time.Sleep(time.Second)
+		s.ObserveStatus("a", 0, forwarder.UpstreamStatus{RateLimit: 20})
+		g.Expect(rate()).To(Equal(20.0))
+		time.Sleep(time.Second)
+		s.ObserveStatus("a", 0, forwarder.UpstreamStatus{})
+		g.Expect(rate()).To(BeZero())
+	})
+}
+
 // TestUnreadableIDIsNotRemembered guards against remarks that cannot be encoded: the ID of a
 // report may hold any bytes, and remarks are sent in beacons.
 func TestUnreadableIDIsNotRemembered(t *testing.T) {
