supervisor: a recalled departure casts no doubt on a later start

A node that restarts while the store is slow may read its directory entry after its upstream has reported itself. If an earlier start with that ID had left, the departure in the entry took the way of a message that just came: the upstream was not used for five report intervals, and one kept without a start time drained it for good.

Change: recalled departures of earlier starts are recorded only. Found by reading the diff.

Test: "a departure of an earlier start that is recalled late" fails with Leave and passes.

--- a/attacher/departures.go
+++ b/attacher/departures.go
@@ -33,7 +33,7 @@
 type statedUpstream interface {
 	Stated() supervisor.Statement
 	Recall(supervisor.Statement)
-	Leave(id string, born int64) int64
+	RecallDeparture(id string, born int64)
 }
 
 // departures keeps the departure of the upstream beside this node in the directory entry of
@@ -176,7 +176,7 @@
 	}
 	d.mu.Unlock()
 	if entry.Left.ID != "" {
-		d.upstream.Leave(entry.Left.ID, entry.Left.Born)
+		d.upstream.RecallDeparture(entry.Left.ID, entry.Left.Born)
 		d.reporter.Notice("departure_recalled", "upstream", entry.Left.ID, "born", entry.Left.Born)
 	}
 	if entry.Stated.ID != "" {
--- a/attacher/departures_test.go
+++ b/attacher/departures_test.go
@@ -49,10 +49,7 @@
 	u.recalled = s
 }
 
-func (u *fakeUpstream) Leave(id string, born int64) int64 {
-	u.memory.RecordDeparture(id, born)
-	return born
-}
+func (u *fakeUpstream) RecallDeparture(id string, born int64) { u.memory.RecordDeparture(id, born) }
 
 func (u *fakeUpstream) state(s supervisor.Statement) {
 	u.mu.Lock()
--- a/supervisor/departures.go
+++ b/supervisor/departures.go
@@ -29,6 +29,25 @@
 	return born
 }
 
+// RecallDeparture applies a departure that an earlier process of the node has kept. It tells
+// nothing about a later start with the same ID.
+func (s *Supervisor) RecallDeparture(id string, born int64) {
+	if !s.isValidID(id, "recalled") {
+		return
+	}
+	s.mu.Lock()
+	changed := false
+	if id == s.current.id && born < s.current.born {
+		s.options.Memory.RecordDeparture(id, born)
+	} else {
+		changed = s.leave(instance{id, born}, "recalled")
+	}
+	s.mu.Unlock()
+	if changed {
+		s.options.OnChange()
+	}
+}
+
 // leave records the departure of an instance. It reports whether the upstream stopped
 // accepting requests. The caller holds the lock.
 //
--- a/supervisor/departures_test.go
+++ b/supervisor/departures_test.go
@@ -6,8 +6,13 @@
 
 	"quetzalhub/forwarder"
 	"quetzalhub/refuser"
+	"quetzalhub/supervisor"
 )
 
+func recalledDeparture(id string, born int64) func(*supervisor.Supervisor, *upstream) {
+	return func(s *supervisor.Supervisor, _ *upstream) { s.RecallDeparture(id, born) }
+}
+
 // TestDepartureOfUnreportedStart guards against requests to an instance whose departure was
 // acknowledged, because it is the first sign of a start: reports are late, a health check
 // states no start time, clocks are set back and messages overtake each other.
@@ -68,8 +73,14 @@
 		"a late report of an earlier start after an unknown one has left": {
 			{leave("a", 20), none}, {report("a", 10, 1, false), none}, {healthy("a"), none}, {report("a", 10, 2, false), none}, {report("a", 30, 1, false), ok},
 		},
+		"a departure of an earlier start that is recalled late": {
+			{report("a", 20, 1, false), none}, {healthy("a"), ok}, {recalledDeparture("a", 10), ok}, {recalledDeparture("a", 0), ok},
+		},
+		"a departure that is recalled late": {
+			{report("a", 20, 1, false), none}, {healthy("a"), ok}, {recalledDeparture("a", 20), draining}, {report("a", 20, 2, false), draining},
+		},
 		"a late report of an earlier start after a restart beside one that has left": {
-			{leave("a", 20), none}, {recalled("a", 20), none}, {healthy("a"), none}, {report("a", 10, 1, false), none}, {report("a", 20, 3, false), none},
+			{recalledDeparture("a", 20), none}, {recalled("a", 20), none}, {healthy("a"), none}, {report("a", 10, 1, false), none}, {report("a", 20, 3, false), none},
 		},
 		"a draining report that a later report overtakes": {
 			{report("a", 10, 5, false), none}, {healthy("a"), ok}, {report("a", 10, 4, true), draining}, {report("a", 10, 6, false), draining},
--- a/supervisor/tenancy_test.go
+++ b/supervisor/tenancy_test.go
@@ -109,6 +109,10 @@
 		memory.RecordDeparture(t.id, t.born)
 	}
 	if isRecalled {
+		if len(n.left) > 0 {
+			last := n.left[len(n.left)-1]
+			n.node.RecallDeparture(last.id, last.born)
+		}
 		n.node.Recall(n.kept)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
