--- a/supervisor/confirmation.go
+++ b/supervisor/confirmation.go
@@ -63,7 +63,7 @@
 		interval = checkInterval
 	}
 	isWanted := (!s.confirmed || s.warmth.checkDue) && !s.draining && len(s.statements.byID) > 0
-	return (isWanted || s.holder.isDoubted()) && time.Since(s.lastProbe) >= interval
+	return (isWanted || s.occupant.isDoubted()) && time.Since(s.lastProbe) >= interval
 }
 
 func (s *Supervisor) probe(ctx context.Context) {
@@ -83,7 +83,7 @@
 	if health.ID != "" && !s.isValidID(health.ID, "health check") {
 		health.ID = ""
 	}
-	changed := s.hold(health.ID, began)
+	changed := s.occupy(health.ID, began)
 	s.mu.Unlock()
 	if err == nil && health.ID != "" && s.confirm(health, began) || changed {
 		s.options.OnChange()
--- a/supervisor/holder.go
+++ b/supervisor/occupant.go
@@ -6,9 +6,9 @@
 // before its report is taken for a late one, unless it has started last.
 const claimPatience = 2 * time.Second
 
-// holder is what is known of the instance that stands at the address, whichever service it
+// occupant is what is known of the instance that stands at the address, whichever service it
 // belongs to.
-type holder struct {
+type occupant struct {
 	// id is the instance that was found or reported last, or empty if none was.
 	id string
 	// doubtedAt is when it became doubtful that this instance is still there, which a health
@@ -20,7 +20,7 @@
 	refuted instance
 }
 
-func (h *holder) isDoubted() bool { return !h.doubtedAt.IsZero() }
+func (o *occupant) isDoubted() bool { return !o.doubtedAt.IsZero() }
 
 // LocalService returns the service of the instance that stands at the address. It returns
 // false while that is not known. The settings tell it until an instance is reported or
@@ -29,14 +29,14 @@
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	switch {
-	case s.holder.isDoubted():
+	case s.occupant.isDoubted():
 		return "", false
-	case s.holder.id == "":
+	case s.occupant.id == "":
 		return s.options.Service, true
-	case s.holder.id == s.current.id && s.reported && s.confirmed:
+	case s.occupant.id == s.current.id && s.reported && s.confirmed:
 		return s.options.Service, true
 	default:
-		stated, ok := s.statements.byID[s.holder.id]
+		stated, ok := s.statements.byID[s.occupant.id]
 		return stated.Service, ok && stated.Service != ""
 	}
 }
@@ -46,13 +46,13 @@
 // the lock.
 func (s *Supervisor) claim(i instance, isUsable bool, now time.Time) {
 	switch {
-	case s.holder.id == i.id || s.holder.refuted == i:
+	case s.occupant.id == i.id || s.occupant.refuted == i:
 		return
 	case isUsable && s.statements.latest.ID == i.id:
-		s.holder = holder{id: i.id}
+		s.occupant = occupant{id: i.id}
 		return
 	}
-	s.holder.claimant = i
+	s.occupant.claimant = i
 	s.verify(now)
 }
 
@@ -65,35 +65,35 @@
 
 // verify is Verify for callers that hold the lock.
 func (s *Supervisor) verify(now time.Time) {
-	s.holder.doubtedAt, s.lastProbe = now, time.Time{}
+	s.occupant.doubtedAt, s.lastProbe = now, time.Time{}
 	s.wake()
 }
 
-// hold records the instance that a health check has found, which began at the given time. The
+// occupy records the instance that a health check has found, which began at the given time. The
 // ID is empty if nothing answered; then the address is left in the end to its claimant if
-// that has started last, unless only an earlier process has heard of it. hold reports
+// that has started last, unless only an earlier process has heard of it. It reports
 // whether the upstream stopped accepting requests, since an instance of another service
 // was found. The caller holds the lock.
-func (s *Supervisor) hold(id string, began time.Time) bool {
-	claimant, isAnswered := s.holder.claimant, id != ""
+func (s *Supervisor) occupy(id string, began time.Time) bool {
+	claimant, isAnswered := s.occupant.claimant, id != ""
 	switch {
-	case s.holder.isDoubted() && began.Before(s.holder.doubtedAt):
+	case s.occupant.isDoubted() && began.Before(s.occupant.doubtedAt):
 		return false
 	case !isAnswered && s.statements.byID[claimant.id].recalled:
 		return false
-	case !isAnswered && claimant.id != "" && time.Since(s.holder.doubtedAt) < claimPatience:
+	case !isAnswered && claimant.id != "" && time.Since(s.occupant.doubtedAt) < claimPatience:
 		return false
 	case !isAnswered && claimant.id != "" && s.statements.latest.ID == claimant.id:
 		id = claimant.id
 	case !isAnswered:
-		id = s.holder.id
+		id = s.occupant.id
 	case claimant.id != "" && id != claimant.id:
-		s.holder.refuted = claimant
+		s.occupant.refuted = claimant
 	}
-	if id != s.holder.id {
-		s.options.Reporter.Event("address_held", "upstream", id, "before", s.holder.id, "service", s.statements.byID[id].Service)
+	if id != s.occupant.id {
+		s.options.Reporter.Event("address_occupied", "upstream", id, "before", s.occupant.id, "service", s.statements.byID[id].Service)
 	}
-	s.holder.id, s.holder.claimant, s.holder.doubtedAt = id, instance{}, time.Time{}
+	s.occupant.id, s.occupant.claimant, s.occupant.doubtedAt = id, instance{}, time.Time{}
 	if !isAnswered || !s.confirmed || id == s.current.id || s.isOwn(id) {
 		return false
 	}
--- a/supervisor/statements.go
+++ b/supervisor/statements.go
@@ -109,7 +109,7 @@
 func (s *Supervisor) Stated() Statement {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	if stated := s.statements.byID[s.holder.id]; stated.Service != "" {
+	if stated := s.statements.byID[s.occupant.id]; stated.Service != "" {
 		return stated.Statement
 	}
 	return s.statements.latest.Statement
--- a/supervisor/supervisor.go
+++ b/supervisor/supervisor.go
@@ -177,7 +177,7 @@
 	// health check states no service.
 	reported   bool
 	statements statements
-	holder     holder
+	occupant   occupant
 	// doubted is true while only a report after settledAt can prove that the current
 	// instance is there. Then a health check confirms it if it began after that report.
 	doubted      bool
