attacher: log connections that end without an answer

Servers of a node now count what they read and write on each connection. One that the node ends with bytes of a request read and none of an answer written is logged as connection_unanswered with its state, so that the hypotheses of docs/incidents/unanswered.md can be told apart; errors are logged as server_error. The server moves to a package of its own; when it closes what is unchanged.

go test ./drainer ./forwarder passes.

--- a/attacher/node.go
+++ b/attacher/node.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"io"
 	stdlog "log"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +16,7 @@
 
 	"quetzalhub/caller"
 	"quetzalhub/confirmer"
+	"quetzalhub/drainer"
 	"quetzalhub/forwarder"
 	"quetzalhub/gossiper/udp"
 	"quetzalhub/quarantiner"
@@ -54,9 +55,9 @@
 	stopping atomic.Bool
 	// closing is true once the idle connections of callers are closed.
 	closing         atomic.Bool
-	callerServer    *nodeServer
+	callerServer    *drainer.Server
 	connections     *connectionLimiter
-	internalServers []*nodeServer
+	internalServers []*drainer.Server
 }
 
 // nodeParts are the dependencies of a node.
@@ -125,14 +126,14 @@
 func (n *Node) listen() error {
 	p, node := n.parts, n.parts.Settings.GetNode()
 	ready := func() bool { return p.Confirmer.Snapshot() != nil && !n.stopping.Load() }
-	n.callerServer = newNodeServer(n.closeConnections(p.Traffic.entry), n.connections.trackState)
+	n.callerServer = n.newServer(n.closeConnections(p.Traffic.entry), drainer.OnState(n.connections.trackState))
 	listeners := []struct {
 		address string
-		server  *nodeServer
+		server  *drainer.Server
 	}{
-		{node.GetPeers(), newNodeServer(n.peerHandler(), nil)},
-		{node.GetLocal(), newNodeServer(p.Platform.NewReportHandler(p.Supervisor, p.Departures, p.Reporter), nil)},
-		{node.GetAdmin(), newNodeServer(p.Platform.NewReadinessHandler(ready, n.adminHandler()), nil)},
+		{node.GetPeers(), n.newServer(n.peerHandler())},
+		{node.GetLocal(), n.newServer(p.Platform.NewReportHandler(p.Supervisor, p.Departures, p.Reporter))},
+		{node.GetAdmin(), n.newServer(p.Platform.NewReadinessHandler(ready, n.adminHandler()))},
 		{node.GetCallers(), n.callerServer},
 	}
 	for _, l := range listeners {
@@ -140,9 +141,7 @@
 		if err != nil {
 			return errors.Annotatef(err, "listening on %s", l.address)
 		}
-		l.server.ReadHeaderTimeout, l.server.MaxHeaderBytes = readHeaderTimeout, caller.MaxHeadBytes
 		l.server.Addr = l.address
-		l.server.ErrorLog = stdlog.New(io.Discard, "", 0)
 		if l.server != n.callerServer {
 			n.internalServers = append(n.internalServers, l.server)
 		}
@@ -151,7 +150,27 @@
 	return nil
 }
 
-func (n *Node) serve(s *nodeServer, l net.Listener) {
+// newServer returns a server that logs the connections that it ends without an answer, and its
+// errors, such as a panic of a handler.
+func (n *Node) newServer(handler http.Handler, opts ...drainer.Option) *drainer.Server {
+	r := n.parts.Reporter
+	s := drainer.New(handler, append(opts, drainer.OnUnanswered(func(u drainer.Unanswered) {
+		r.Event("connection_unanswered", "caller", u.Caller, "state", u.State.String(), "read", u.Read, "age", u.Age, "draining", u.Draining)
+	}))...)
+	s.ReadHeaderTimeout, s.MaxHeaderBytes = readHeaderTimeout, caller.MaxHeadBytes
+	s.ErrorLog = stdlog.New(errorWriter{r}, "", 0)
+	return s
+}
+
+// errorWriter writes the errors of servers to the log of the node.
+type errorWriter struct{ reporter *reporter.Reporter }
+
+func (w errorWriter) Write(text []byte) (int, error) {
+	w.reporter.Event("server_error", "err", strings.TrimSpace(string(text)))
+	return len(text), nil
+}
+
+func (n *Node) serve(s *drainer.Server, l net.Listener) {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		n.parts.Reporter.Notice("listener_lost", "address", l.Addr().String(), "err", err)
 	}
@@ -236,10 +255,10 @@
 		p.Reporter.Notice("statement_not_kept", "err", err)
 	}
 	n.closing.Store(true)
-	for i, s := range append([]*nodeServer{n.callerServer}, n.internalServers...) {
+	for i, s := range append([]*drainer.Server{n.callerServer}, n.internalServers...) {
 		// The connections of other nodes are closed after those of callers.
 		p.Traffic.upstreams.closing.Store(i > 0)
-		if err := s.shutDown(ctx); err != nil {
+		if err := s.Drain(ctx); err != nil {
 			p.Reporter.Notice("requests_cut", "address", s.Addr, "err", err)
 			if err := s.Close(); err != nil {
 				p.Reporter.Notice("listener_not_closed", "address", s.Addr, "err", err)
--- /dev/null
+++ b/drainer/drainer_test.go
@@ -0,0 +1,153 @@
+package drainer_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"quetzalhub/drainer"
+)
+
+// pipeListener accepts pipes, which work on a paused clock.
+type pipeListener struct {
+	conns  chan net.Conn
+	once   sync.Once
+	closed chan struct{}
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// client is a connection to a server.
+type client struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (l *pipeListener) dial() *client {
+	server, conn := net.Pipe()
+	l.conns <- server
+	return &client{conn, bufio.NewReader(conn)}
+}
+
+// status reads an answer and returns its status, or zero if the connection ends without one.
+func (c *client) status() int {
+	resp, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
+const (
+	firstHalf  = "GET /look HTTP/1.1\r\nHo"
+	secondHalf = "st: hall.example\r\n\r\n"
+)
+
+// fixture is a server with a listener of pipes.
+type fixture struct {
+	*drainer.Server
+	listener   *pipeListener
+	unanswered []drainer.Unanswered
+	group      sync.WaitGroup
+}
+
+// newFixture returns a server whose requests take a time.
+func newFixture(work time.Duration) *fixture {
+	f := &fixture{listener: newPipeListener()}
+	f.Server = drainer.New(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(work)
+		w.WriteHeader(http.StatusNoContent)
+	}), drainer.OnUnanswered(func(u drainer.Unanswered) { f.unanswered = append(f.unanswered, u) }))
+	f.group.Go(func() { _ = f.Serve(f.listener) })
+	return f
+}
+
+// TestUnanswered guards against connections that a server ends without an answer and without
+// a trace.
+func TestUnanswered(t *testing.T) {
+	const age = 2 * time.Second
+	cases := map[string]struct {
+		// sent is what the client sends before the server closes all connections, and leaves
+		// is true if the client closes its connection before that.
+		sent   string
+		leaves bool
+		work   time.Duration
+		read   int
+	}{
+		"nothing sent":              {"", false, 0, 0},
+		"part of a head":            {firstHalf, false, 0, len(firstHalf)},
+		"in the handler":            {firstHalf + secondHalf, false, time.Minute, len(firstHalf + secondHalf)},
+		"part of a head, then gone": {firstHalf, true, 0, 0},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				f := newFixture(c.work)
+				client := f.listener.dial()
+				_, err := fmt.Fprint(client, c.sent)
+				g.Expect(err).NotTo(HaveOccurred())
+				if c.leaves {
+					g.Expect(client.Close()).To(Succeed())
+				}
+				time.Sleep(age)
+				synctest.Wait()
+				g.Expect(f.Close()).To(Succeed())
+				f.group.Wait()
+				if c.read == 0 {
+					g.Expect(f.unanswered).To(BeEmpty())
+					return
+				}
+				g.Expect(f.unanswered).To(HaveLen(1))
+				g.Expect(f.unanswered[0].Read).To(Equal(c.read))
+				g.Expect(f.unanswered[0].Age).To(Equal(age))
+				time.Sleep(c.work)
+			})
+		})
+	}
+}
+
+// TestAnswered guards against reports of connections whose requests were answered.
+func TestAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFixture(0)
+		client := f.listener.dial()
+		for range 2 {
+			_, err := fmt.Fprint(client, firstHalf+secondHalf)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(client.status()).To(Equal(http.StatusNoContent))
+		}
+		synctest.Wait()
+		g.Expect(f.Drain(context.Background())).To(Succeed())
+		f.group.Wait()
+		g.Expect(f.unanswered).To(BeEmpty())
+	})
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -19,7 +19,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -178,6 +177,9 @@
 	}
 }
 
+// wrapper is a connection on top of another one, such as one with TLS.
+type wrapper interface{ NetConn() net.Conn }
+
 // resetConnection discards the connection of a caller to which the end of a connection is that of
 // a body.
 func resetConnection(w http.ResponseWriter) {
@@ -185,8 +187,8 @@
 	if err != nil {
 		return
 	}
-	if c, ok := conn.(*tls.Conn); ok {
-		// Closing it would state that the body has ended.
+	// Closing a TLS connection would state that the body has ended.
+	for c, ok := conn.(wrapper); ok; c, ok = conn.(wrapper) {
 		conn = c.NetConn()
 	}
 	if c, ok := conn.(*net.TCPConn); ok {
