attacher: spare connections with a part of a request from the idle limit

What callers saw: a kept connection is closed under a request whose head arrives in parts, without a stop, once the idle timeout is over, which a new configuration may have lowered.

Cause: the limit closes what net/http calls idle, which a connection is until the next head on it is whole. It now interrupts reads, as the drain does, so that a connection of which something was read stays open.

TestIdleLimitSparesRequests (2 of 5 cases failed) passes, with the race detector as well.

--- a/attacher/connection_limiter.go
+++ b/attacher/connection_limiter.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"quetzalhub/drainer"
 	"quetzalhub/util/repeater"
 )
 
@@ -89,8 +90,7 @@
 
 func (l *connectionLimiter) closeExpired() {
 	for _, c := range l.expiredConns(time.Now()) {
-		// An error means that it is already closed.
-		_ = c.Close()
+		drainer.CloseIdle(c)
 	}
 }
 
--- a/drainer/conn.go
+++ b/drainer/conn.go
@@ -109,6 +109,15 @@
 	}
 }
 
+// closeIdle interrupts the connection if nothing of a request has arrived on it.
+func (c *conn) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state != http.StateActive && c.read == 0 && !hasInput(c.Conn) {
+		c.interrupt()
+	}
+}
+
 // drain interrupts the connection if no request is expected on it, for a drain that has begun
 // at a time. It returns the time until it may be so, or zero if the state has to change first.
 func (c *conn) drain(begin time.Time) time.Duration {
--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -91,6 +91,17 @@
 	return err
 }
 
+// CloseIdle closes a connection, which OnState has passed, unless something of a request has
+// arrived on it.
+func CloseIdle(c net.Conn) {
+	if c, ok := c.(*conn); ok {
+		c.closeIdle()
+		return
+	}
+	// An error means that it is already closed.
+	_ = c.Close()
+}
+
 // Drain closes the listener, and connections once no request is expected on them. It returns
 // when all are closed. Those that are open when the context ends are closed in any case.
 func (s *Server) Drain(ctx context.Context) error {
