attacher: write answers until shortly before the end of the grace period

What callers saw: under a planned stop, a download that the upstream had finished was cut 5.1 s after the SIGTERM, with a grace of 6 s, while its caller was still reading.

Cause: the time until which requests have to end, 0.85 of the grace period, was also the time at which all connections were closed. A node that stops because its upstream is busy until then even had no time at all for its drain.

Requests still end at 0.85, where other nodes and the upstream are no longer waited for. Connections on which an answer is being written stay open until 0.97; the listeners for other nodes and the upstream are closed after that of callers, or at 0.85.

Of TestSlowReaderAtStop, the request sent before the stop failed before: 80 of 84 MB, cut 3.54 s after the begin of a stop with a grace of 4 s.

--- a/attacher/node.go
+++ b/attacher/node.go
@@ -34,10 +34,11 @@
 	// period of a planned stop. Until the first, callers learn that the node is
 	// not ready; then it leaves the membership, and until the second other nodes
 	// stop sending calls; until the third active requests end. Requests that can't be
-	// expected to end by then are refused.
+	// expected to end by then are refused. Answers that have begun are written until the last.
 	leaveFraction    = 0.35
 	waitFraction     = 0.55
 	shutdownFraction = 0.85
+	writeFraction    = 0.97
 	// answerMargin is the time between the end of the last request and the close of its
 	// connection, for its answer to be written.
 	answerMargin = 100 * time.Millisecond
@@ -254,17 +255,7 @@
 	} else if err := p.Departures.keepStatement(ctx); err != nil {
 		p.Reporter.Notice("statement_not_kept", "err", err)
 	}
-	n.closing.Store(true)
-	for i, s := range append([]*drainer.Server{n.callerServer}, n.internalServers...) {
-		// The connections of other nodes are closed after those of callers.
-		p.Traffic.upstreams.closing.Store(i > 0)
-		if err := s.Drain(ctx); err != nil {
-			p.Reporter.Notice("requests_cut", "address", s.Addr, "err", err)
-			if err := s.Close(); err != nil {
-				p.Reporter.Notice("listener_not_closed", "address", s.Addr, "err", err)
-			}
-		}
-	}
+	n.drain(ctx, at(writeFraction))
 	p.Reporter.Notice("stopped", "took", time.Since(started))
 	n.cancel()
 	if err := p.Transport.Close(); err != nil {
@@ -274,6 +265,32 @@
 	return nil
 }
 
+// drain closes the connections of callers, and then those of other nodes, the upstream and the
+// platform, at the latest once the context ends. What is open at the end is cut.
+func (n *Node) drain(ctx context.Context, end time.Time) {
+	n.closing.Store(true)
+	limit, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	callers, drained := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	group.Go(func() {
+		n.drainServer(limit, n.callerServer)
+		drained()
+	})
+	<-callers.Done()
+	n.parts.Traffic.upstreams.closing.Store(true)
+	for _, s := range n.internalServers {
+		n.drainServer(limit, s)
+	}
+	group.Wait()
+}
+
+func (n *Node) drainServer(ctx context.Context, s *drainer.Server) {
+	if err := s.Drain(ctx); err != nil {
+		n.parts.Reporter.Notice("requests_cut", "address", s.Addr, "err", err)
+	}
+}
+
 // hasActiveRequests reports whether requests run or wait at the upstream.
 func (n *Node) hasActiveRequests() bool {
 	for _, e := range n.parts.Supervisor.Endpoints() {
