forwarder: pass on answers that have begun beyond the end of a stopping node

Cause: a stopping node ends the deadlines of new requests with its own end, and the context that has this deadline was also that in which the answer is read. So an answer that had begun was cut there, although its caller waited for longer. The node beside the upstream did the same with the deadline that it was given.

The shortened deadline now ends only the wait for the answer. Once it has begun, the entry reads it until the deadline that the caller gave, and the relay for as long as it writes.

--- a/forwarder/dispatcher.go
+++ b/forwarder/dispatcher.go
@@ -300,9 +300,10 @@
 func (d *Dispatcher) send(ctx context.Context, call *Call, target *balancer.Target) (*Response, bool, error) {
 	a := d.newAttempt(call, target)
 	a.ctx = ctx
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, answered, cancel := answerContext(ctx, call.Parent.Deadline, call.answerDeadline)
 	watch := d.startWatch(ctx, cancel, a)
 	resp, err := d.transport.RoundTrip(d.newNodeRequest(ctx, a))
+	answered()
 	progress := watch.stop()
 	if err == nil && progress != schema.Progress_PROGRESS_UNSPECIFIED {
 		// The watch gave up the attempt while its response began.
--- a/forwarder/entry.go
+++ b/forwarder/entry.go
@@ -244,6 +244,7 @@
 	if callDeadline := info.received.Add(info.Timeout); callDeadline.Before(call.Parent.Deadline) {
 		call.Parent.Deadline = callDeadline
 	}
+	call.answerDeadline = call.Parent.Deadline
 	// A call is not refused because the node stops, since its parent's work would be lost.
 	call.Parent.Deadline, _ = e.Lifetime.Limit(call.Parent.Deadline, 0)
 	call.Nested = true
@@ -264,7 +265,8 @@
 	route := call.Route
 	class := e.State.Snapshot().Class(route, workspace)
 	rank := mathrand.Uint32N(guard.RanksPerClass)
-	deadline, ok := e.Lifetime.Limit(info.received.Add(e.timeout(route, info)), route.TargetLatency)
+	call.answerDeadline = info.received.Add(e.timeout(route, info))
+	deadline, ok := e.Lifetime.Limit(call.answerDeadline, route.TargetLatency)
 	if !ok {
 		return nil, &refuser.Error{Code: refuser.Draining}
 	}
--- a/forwarder/export_test.go
+++ b/forwarder/export_test.go
@@ -16,3 +16,6 @@
 func RestoreEndpoint(e *schema.Endpoint, service string, m *schema.Member) {
 	restoreEndpoint(e, service, m)
 }
+
+// AnswerContext returns the context for the answer to a request.
+var AnswerContext = answerContext
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -110,6 +110,9 @@
 	Retryable bool
 	// bounds are the regions in which the call may run.
 	bounds regionBounds
+	// answerDeadline is the time until which an answer that has begun is passed on, which is
+	// that by which the caller expects it. It may be zero.
+	answerDeadline time.Time
 	// offered is the number of upstreams that may have seen the call.
 	offered uint32
 	// series is the number of calls of this kind that the request which makes them has
--- a/forwarder/lifetime.go
+++ b/forwarder/lifetime.go
@@ -1,6 +1,8 @@
 package forwarder
 
 import (
+	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 )
@@ -50,3 +52,25 @@
 	left := duration - elapsed
 	return stop.end, left > 0 && left >= min(objective, duration/minRunDivisor)
 }
+
+// answerContext returns a context for sending a request and reading its answer. It ends with
+// ctx, whose deadline may be earlier than that of the answer because the node stops. Once the
+// function answered is called, which tells that the answer has begun, only the deadline of the
+// answer ends it, or the end of ctx for another reason.
+func answerContext(ctx context.Context, deadline, answerDeadline time.Time) (answer context.Context, answered func(), end context.CancelFunc) {
+	if !deadline.Before(answerDeadline) {
+		answer, end = context.WithCancel(ctx)
+		return answer, func() {}, end
+	}
+	var begun atomic.Bool
+	answer, cancel := context.WithDeadline(context.WithoutCancel(ctx), answerDeadline)
+	stop := context.AfterFunc(ctx, func() {
+		if !begun.Load() || !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			cancel()
+		}
+	})
+	return answer, func() { begun.Store(true) }, func() {
+		stop()
+		cancel()
+	}
+}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -279,7 +279,14 @@
 		permit.ExcludeCallTime(rc.request.CallTimer.Total())
 		permit.Release()
 	}()
+	ctx, cancelAnswer := context.WithCancel(req.Context())
+	defer cancelAnswer()
+	timer := time.AfterFunc(time.Until(rc.request.Deadline.Add(r.options.DeadlineGrace)), cancelAnswer)
+	defer timer.Stop()
 	resp, code := r.callUpstream(ctx, req, rc)
+	// The node from which the call comes ends the answer at the deadline of the request, which is
+	// later than that of the call if one of both nodes stops.
+	timer.Reset(time.Until(rc.request.Deadline.Add(writeGrace)))
 	defer r.isolator.end(rc)
 	if code != refuser.None {
 		r.close(id, code)
