drainer: wait for what is on its way, and for nothing else

What callers would have seen: - A connection that was accepted before the listener closed, but not yet known, was cut with its request. The drain now waits for the end of the accept loop, and before that for connections that the kernel has accepted. - A connection was closed right after an answer that let the caller keep it, so that the next request met its end. It now stays open for 250 ms. - Refusals of uploads ended by a reset after 500 ms, since CloseWrite was hidden. - A head that the drain no longer waits for was answered with status 400. - Bytes that had arrived but were not read were not looked for after the first part of a head. - Hijacked connections, a part of a head that was returned late and one that arrived byte by byte held the drain until its end, at the expense of the other listeners of the node. - One to three bytes exempted a kept connection from the idle limit. - 100 Continue counted as an answer in connection_unanswered, and a drain that had cut nothing could report an error.

--- a/drainer/conn.go
+++ b/drainer/conn.go
@@ -1,12 +1,12 @@
 package drainer
 
 import (
+	"bytes"
 	"errors"
 	"net"
 	"net/http"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -35,6 +35,8 @@
 	// read while a request was active, and lastRead the time of the last read.
 	read, ahead int
 	lastRead    time.Time
+	// headSince is the time of the first of these bytes, and idleSince that of the last answer.
+	headSince, idleSince time.Time
 	// answered is true once a byte of the answer to what was read is written.
 	answered bool
 	// gone is true if the caller has ended the connection, and closed if the server has.
@@ -43,6 +45,8 @@
 	// connection is interrupted.
 	deadline    time.Time
 	interrupted bool
+	// ended is true once a read has failed by the interruption.
+	ended bool
 }
 
 // NetConn returns the connection below this one.
@@ -54,10 +58,14 @@
 	defer c.mu.Unlock()
 	c.gone = c.gone || isGone(err)
 	if n == 0 {
+		c.ended = c.ended || c.interrupted
 		return n, err
 	}
-	c.read += n
 	c.lastRead = time.Now()
+	if c.read == 0 {
+		c.headSince = c.lastRead
+	}
+	c.read += n
 	// While a handler runs, net/http reads one byte ahead, to notice the end of the
 	// connection. It belongs to the next request.
 	if c.state == http.StateActive && len(p) == 1 {
@@ -67,15 +75,34 @@
 	return n, err
 }
 
+// Write writes a part of an answer. It fails once an interruption has ended the reads, since
+// net/http takes a head that ends so for a malformed one.
 func (c *conn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	ended := c.ended
+	c.mu.Unlock()
+	if ended {
+		return 0, os.ErrDeadlineExceeded
+	}
 	n, err := c.Conn.Write(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.answered = c.answered || n > 0
+	c.answered = c.answered || n > 0 && !bytes.HasPrefix(p, continueLine)
 	c.gone = c.gone || isGone(err)
 	return n, err
 }
 
+// continueLine begins a response that is no answer.
+var continueLine = []byte("HTTP/1.1 100 ")
+
+// CloseWrite ends the answer while the server still reads, for callers that are still sending.
+func (c *conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
 // isGone reports whether an error tells that the caller has ended the connection.
 func isGone(err error) bool {
 	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed)
@@ -102,18 +129,21 @@
 
 // resume ends an interruption. The caller holds the lock.
 func (c *conn) resume() {
-	if c.interrupted {
+	if c.interrupted && !c.ended {
 		c.interrupted = false
 		// An error shows in the next read.
 		_ = c.Conn.SetReadDeadline(c.deadline)
+		c.server.notify()
 	}
 }
 
-// closeIdle interrupts the connection if nothing of a request has arrived on it.
+// closeIdle interrupts the connection if nothing of a request has arrived on it, or if the rest of
+// a head is overdue.
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state != http.StateActive && c.read == 0 && !hasInput(c.Conn) {
+	overdue := time.Since(c.headSince) > max(c.server.ReadHeaderTimeout, headTimeout)
+	if c.state != http.StateActive && (c.read == 0 || overdue) && !hasInput(c.Conn) {
 		c.interrupt()
 	}
 }
@@ -127,12 +157,14 @@
 	switch {
 	case c.state == http.StateActive || c.interrupted || c.closed:
 		return 0
-	case c.read > 0:
-		until = c.lastRead.Add(headTimeout)
 	case hasInput(c.Conn):
 		return inputInterval
+	case c.read > 0:
+		until = c.headSince.Add(headTimeout)
 	case c.state == http.StateNew:
-		until = begin.Add(firstRequestTimeout)
+		until = begin.Add(quietTime)
+	default:
+		until = c.idleSince.Add(quietTime)
 	}
 	if left := time.Until(until); left > 0 {
 		return left
@@ -141,27 +173,6 @@
 	return 0
 }
 
-// hasInput reports whether bytes have arrived on a connection that are not read yet.
-func hasInput(c net.Conn) bool {
-	for w, ok := c.(interface{ NetConn() net.Conn }); ok; w, ok = c.(interface{ NetConn() net.Conn }) {
-		c = w.NetConn()
-	}
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
-	n := 0
-	// A connection that can't be read has no input.
-	_ = raw.Control(func(fd uintptr) {
-		n, _, _ = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return n > 0
-}
-
 // setState records a state change.
 func (c *conn) setState(state http.ConnState) {
 	c.mu.Lock()
@@ -169,6 +180,7 @@
 	switch state {
 	case http.StateIdle:
 		c.read, c.ahead, c.answered = c.ahead, 0, false
+		c.headSince, c.idleSince = c.lastRead, time.Now()
 	case http.StateActive:
 		c.resume()
 	}
--- a/drainer/drain_test.go
+++ b/drainer/drain_test.go
@@ -75,6 +75,11 @@
 					for client.status() == http.StatusOK {
 						n++
 					}
+					// Nothing but whole answers is sent.
+					_, err := client.reader.ReadByte()
+					if err == nil {
+						n = -1
+					}
 					answers <- n
 				}()
 				time.Sleep(time.Until(begin))
--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -24,12 +24,15 @@
 )
 
 const (
-	// firstRequestTimeout is the time, from the begin of a drain, after which connections
-	// without a request are closed.
-	firstRequestTimeout = 250 * time.Millisecond
-	// headTimeout is the time without a further byte after which a drain no longer waits for
-	// the rest of a head.
+	// quietTime is the time after which a drain closes a connection without a further request: from
+	// its begin, or from the last answer, which may not have asked the caller to close.
+	quietTime = 250 * time.Millisecond
+	// headTimeout is the time from its first byte after which a drain no longer waits for the
+	// rest of a head.
 	headTimeout = time.Second
+	// acceptTime bounds the wait for connections that the kernel has accepted, and acceptInterval
+	// is the time between two looks at them.
+	acceptTime, acceptInterval = 250 * time.Millisecond, time.Millisecond
 	// inputInterval is the time between two looks at a connection whose input is not read yet.
 	inputInterval = 5 * time.Millisecond
 )
@@ -58,7 +61,9 @@
 
 	mu       sync.Mutex
 	listener net.Listener
-	conns    map[*conn]bool
+	// served is closed once connections are no longer accepted.
+	served chan struct{}
+	conns  map[*conn]bool
 }
 
 // New returns a server. While it drains, answers ask callers to close their connection.
@@ -78,11 +83,14 @@
 
 // Serve accepts connections until the server drains, and returns http.ErrServerClosed then.
 func (s *Server) Serve(l net.Listener) error {
+	served := make(chan struct{})
+	defer close(served)
 	s.mu.Lock()
-	s.listener = l
+	s.listener, s.served = l, served
 	s.mu.Unlock()
 	if s.draining.Load() {
-		s.closeListener()
+		// An error means that it is already closed.
+		_ = l.Close()
 	}
 	err := s.Server.Serve(&listener{l, s})
 	if s.draining.Load() {
@@ -107,11 +115,12 @@
 func (s *Server) Drain(ctx context.Context) error {
 	begin := time.Now()
 	s.draining.Store(true)
-	s.closeListener()
+	s.closeListener(ctx, begin)
 	for {
 		open, wait := s.drainConns(begin)
 		if open == 0 {
-			return s.Close()
+			_ = s.Close()
+			return nil
 		}
 		var timer <-chan time.Time
 		if wait > 0 {
@@ -127,6 +136,26 @@
 	}
 }
 
+// closeListener closes the listener once no connections wait at it, and returns when all that
+// were accepted are known.
+func (s *Server) closeListener(ctx context.Context, begin time.Time) {
+	s.mu.Lock()
+	l, served := s.listener, s.served
+	s.mu.Unlock()
+	if l == nil {
+		return
+	}
+	for ctx.Err() == nil && time.Since(begin) < acceptTime && hasQueue(l) {
+		time.Sleep(acceptInterval)
+	}
+	// An error means that it is already closed.
+	_ = l.Close()
+	select {
+	case <-served:
+	case <-ctx.Done():
+	}
+}
+
 // drainConns interrupts the connections on which no request is expected. It returns the
 // number of open connections, and the time until there may be another such one, or zero.
 func (s *Server) drainConns(begin time.Time) (open int, wait time.Duration) {
@@ -140,15 +169,6 @@
 	return len(s.conns), wait
 }
 
-func (s *Server) closeListener() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.listener != nil {
-		// An error means that it is already closed.
-		_ = s.listener.Close()
-	}
-}
-
 func (s *Server) add(c net.Conn) *conn {
 	added := &conn{Conn: c, server: s}
 	s.mu.Lock()
@@ -175,6 +195,9 @@
 func (s *Server) trackState(c net.Conn, state http.ConnState) {
 	if c, ok := c.(*conn); ok {
 		c.setState(state)
+		if state == http.StateHijacked {
+			s.remove(c)
+		}
 	}
 	if state == http.StateIdle {
 		s.notify()
--- a/drainer/options.go
+++ b/drainer/options.go
@@ -18,7 +18,8 @@
 	return func(o *options) { o.onState = f }
 }
 
-// OnUnanswered passes the connections that the server ends without an answer to a function.
+// OnUnanswered passes the connections that the server ends without an answer to a function, which
+// must not block, nor call the server.
 func OnUnanswered(f func(Unanswered)) Option {
 	return func(o *options) { o.onUnanswered = f }
 }
