quetzald: keep the port of the test of SIGHUP from other processes

TestHangupWhileStarting failed now and then: the process was ended by the SIGTERM after a few milliseconds of processor time. Callers saw nothing.

Cause: the test frees a port, waits 300 ms and takes the first listener at that port for that of the node. Other tests and nodes listen at ports that the system chooses, and may get this one meanwhile. The SIGTERM then came while the node was still reading its settings, which ends it, as it should: nothing listens.

The test now holds the port with a bound socket that doesn't listen: the system gives the port to nobody else, and only a listener that names it can listen. The SIGTERM comes as before, at the first connection.

--- a/cmd/quetzald/signal_test.go
+++ b/cmd/quetzald/signal_test.go
@@ -23,7 +23,7 @@
 	out, err := exec.Command("go", "build", "-o", daemon, ".").CombinedOutput()
 	g.Expect(err).NotTo(HaveOccurred(), string(out))
 	g.Expect(syscall.Mkfifo(settings, 0o600)).To(Succeed())
-	callers := freeAddress(g)
+	callers := heldAddress(t)
 	cmd := exec.Command(daemon, "-attach", "-settings", settings)
 	g.Expect(cmd.Start()).To(Succeed())
 	ended := make(chan error, 1)
@@ -63,6 +63,22 @@
 	g.Eventually(ended, 10*time.Second).Should(Receive(BeNil()))
 }
 
+// heldAddress returns an address on loopback at which nothing but a listener that names it can
+// listen, and from which nothing connects, until the end of the test: a socket that doesn't
+// listen keeps its port from those that the system chooses.
+func heldAddress(t *testing.T) string {
+	g := NewWithT(t)
+	holder, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = syscall.Close(holder) })
+	// Listeners share the port with a socket that allows it and doesn't listen.
+	g.Expect(syscall.SetsockoptInt(holder, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)).To(Succeed())
+	g.Expect(syscall.Bind(holder, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})).To(Succeed())
+	name, err := syscall.Getsockname(holder)
+	g.Expect(err).NotTo(HaveOccurred())
+	return fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+}
+
 // freeAddress returns an address on loopback that is free.
 func freeAddress(g *WithT) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
