quetzald: go on without a reader of the log

What callers would see: all requests of a node end without an answer at once, as its process is ended by SIGPIPE.

Cause: Go ends a process whose write to standard output or error meets a pipe without a reader, unless the signal is ignored. A node logs there, so that the end of the log's reader was that of the node.

The signal is ignored; lines that cannot be written are lost, as docs/LOGS.md says. TestLogReaderLeaves failed before: the process had ended before it could be reached.

--- a/cmd/quetzald/main.go
+++ b/cmd/quetzald/main.go
@@ -55,6 +55,8 @@
 		flag.Usage()
 		os.Exit(2)
 	}
+	// A write to a closed standard output or error ends a process by default.
+	signal.Ignore(syscall.SIGPIPE)
 	if *attach {
 		// The platform may send the signal, which ends a process by default, before the node
 		// handles it.
