server: drain connections as attached nodes do

Cause: the node shut its servers down with net/http, which drops such requests before the handler that would refuse them. It now uses the drainer, also for connections with TLS, and logs connections that end without an answer.

--- a/server/node.go
+++ b/server/node.go
@@ -18,6 +18,7 @@
 	"quetzalhub/balancer"
 	"quetzalhub/caller"
 	"quetzalhub/certifier"
+	"quetzalhub/drainer"
 	"quetzalhub/confirmer"
 	"quetzalhub/forwarder"
 	"quetzalhub/gossiper"
@@ -47,7 +48,7 @@
 type Node struct {
 	parts   nodeParts
 	logger  *log.Logger
-	servers []*http.Server
+	servers []*drainer.Server
 	cancel  context.CancelFunc
 	group   sync.WaitGroup
 	// closing is true once the connections of callers are closed.
@@ -145,18 +146,19 @@
 		if err != nil {
 			return errors.Annotatef(err, "listening on %s", h.address)
 		}
-		s := &http.Server{
-			Handler:           h.handler,
-			ReadHeaderTimeout: readHeaderTimeout,
-			MaxHeaderBytes:    caller.MaxHeadBytes,
-			ErrorLog:          n.logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel}),
-		}
+		s := drainer.New(h.handler, drainer.OnUnanswered(n.logUnanswered))
+		s.ReadHeaderTimeout, s.MaxHeaderBytes = readHeaderTimeout, caller.MaxHeadBytes
+		s.ErrorLog = n.logger.StandardLog(log.StandardLogOptions{ForceLevel: log.DebugLevel})
 		n.servers = append(n.servers, s)
 		n.group.Go(func() { _ = s.Serve(n.parts.Security.wrap(listener, h.roles...)) })
 	}
 	return nil
 }
 
+func (n *Node) logUnanswered(u drainer.Unanswered) {
+	n.logger.Warn("connection ended without an answer", "caller", u.Caller, "state", u.State, "read", u.Read, "age", u.Age, "draining", u.Draining)
+}
+
 // callerHandler serves requests of callers. While the node closes its connections, it
 // refuses them: the connection of a request that arrives then may be closed under it.
 func (n *Node) callerHandler() http.Handler {
@@ -228,9 +230,8 @@
 	return nil
 }
 
-func (n *Node) shutdown(ctx context.Context, s *http.Server) {
-	if err := s.Shutdown(ctx); err != nil {
-		n.logger.Warn("drain time expired with requests still active; closing their connections", "err", err)
-		_ = s.Close()
+func (n *Node) shutdown(ctx context.Context, s *drainer.Server) {
+	if err := s.Drain(ctx); err != nil {
+		n.logger.Warn("drain time expired with requests still active; their connections are closed", "err", err)
 	}
 }
