forwarder: log answers that break off

An answer that breaks off after its begin left no line in the log of the entry or the relay, neither answered nor failed, so that a cut at the end of a stop could not be told from one by the upstream or by the caller. It is logged as answer_cut with its cause.

--- a/forwarder/egress.go
+++ b/forwarder/egress.go
@@ -68,7 +68,7 @@
 	loan.Take(responseBytes(response))
 	defer limitWrites(w, response, parent.Deadline)()
 	Native{}.SetResponseHeaders(w.Header(), parent.ID)
-	writeResponse(w, r, response)
+	writeResponse(w, r, response, nil)
 }
 
 func (e *Egress) serve(ctx context.Context, w http.ResponseWriter, r *http.Request, parent *tracker.Request, loan *accountant.Loan) (*Response, error) {
--- a/forwarder/entry.go
+++ b/forwarder/entry.go
@@ -138,7 +138,10 @@
 		return
 	}
 	defer response.end()
-	writeResponse(w, r, response.Response)
+	writeResponse(w, r, response.Response, func(err error) {
+		e.Reporter.Event("answer_cut", "request", info.ID, "status", response.Status, "by", response.Node, "path", info.Path,
+			"held", time.Since(started), "err", err)
+	})
 	elapsed := time.Since(started)
 	if e.ObserveLatency != nil {
 		e.ObserveLatency(elapsed)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -167,12 +167,16 @@
 }}
 
 // writeResponse writes a response to the caller of a request. If the body is truncated, the
-// connection is aborted so that the caller cannot take it for complete.
-func writeResponse(w http.ResponseWriter, r *http.Request, resp *Response) {
+// connection is aborted so that the caller cannot take it for complete. Before that, onCut, if
+// not nil, receives the cause.
+func writeResponse(w http.ResponseWriter, r *http.Request, resp *Response, onCut func(error)) {
 	defer resp.Body.Close()
 	copyResponseHeader(w.Header(), resp.Header)
 	w.WriteHeader(resp.Status)
 	if err := copyBody(w, resp.Body, resp.Length < 0); err != nil {
+		if onCut != nil {
+			onCut(err)
+		}
 		if !r.ProtoAtLeast(1, 1) {
 			resetConnection(w)
 		}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -433,7 +433,9 @@
 	r.setReport(w.Header(), resp.Header, rc, report)
 	rc.loan.Take(responseBytes(response))
 	defer limitWrites(w, response, rc.request.Deadline)()
-	writeResponse(w, req, response)
+	writeResponse(w, req, response, func(err error) {
+		r.options.Reporter.Event("answer_cut", "request", rc.requestID(), "status", response.Status, "upstream", rc.upstream.ID, "err", err)
+	})
 }
 
 // report returns the unused retries and the shedding level of a call. It drains
