--- a/cmd/quetzal-soak/main.go
+++ b/cmd/quetzal-soak/main.go
@@ -38,12 +38,13 @@
 	nodes := flag.Int("nodes", 6, "`number` of nodes")
 	planned := flag.Bool("planned", false, "inject planned work only")
 	deadly := flag.Bool("deadly", false, "inject requests that crash upstreams only")
+	slow := flag.Bool("slow", false, "take answers that planned work cuts under slow readers for violations")
 	flag.Parse()
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
 	failed := false
 	for s := *seed; s < *seed+*seeds && ctx.Err() == nil; s++ {
-		failed = !run(ctx, *folder, soaker.Options{Daemon: *daemon, Seed: s, Duration: *duration, Nodes: *nodes, PlannedOnly: *planned, DeadlyOnly: *deadly}) || failed
+		failed = !run(ctx, *folder, soaker.Options{Daemon: *daemon, Seed: s, Duration: *duration, Nodes: *nodes, PlannedOnly: *planned, DeadlyOnly: *deadly, SlowReaders: *slow}) || failed
 	}
 	if failed {
 		os.Exit(1)
