--- a/drainer/conn.go
+++ b/drainer/conn.go
@@ -142,7 +142,8 @@
 func (c *conn) closeIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	overdue := time.Since(c.headSince) > max(c.server.ReadHeaderTimeout, headTimeout)
+	limit := c.server.ReadHeaderTimeout
+	overdue := limit > 0 && time.Since(c.headSince) > limit
 	if c.state != http.StateActive && (c.read == 0 || overdue) && !hasInput(c.Conn) {
 		c.interrupt()
 	}
