--- a/attacher/module.go
+++ b/attacher/module.go
@@ -376,8 +376,8 @@
 // Fresh reports whether there is a configuration.
 func (s lastingState) Fresh() bool { return s.Snapshot() != nil }
 
-// closingUpstreams accepts no calls once the idle connections of other nodes are closed:
-// the connection of a call that arrives then may be closed under it.
+// closingUpstreams accepts no calls once the connections of other nodes are being closed, so
+// that the node ends in time.
 type closingUpstreams struct {
 	forwarder.Upstreams
 	closing atomic.Bool
--- a/attacher/node.go
+++ b/attacher/node.go
@@ -54,7 +54,7 @@
 	cancel   context.CancelFunc
 	group    sync.WaitGroup
 	stopping atomic.Bool
-	// closing is true once the idle connections of callers are closed.
+	// closing is true once the connections of callers are being closed.
 	closing         atomic.Bool
 	callerServer    *drainer.Server
 	connections     *connectionLimiter
@@ -189,9 +189,8 @@
 }
 
 // closeConnections asks callers to close their connections while the node stops
-// or has too many connections. A request that arrives while idle connections are being
-// closed is refused: its connection may be closed under it, which would leave the caller
-// without the answer to a request that runs.
+// or has too many connections. A request that arrives while connections are being closed is
+// refused, so that the node ends in time and the caller goes to another one.
 func (n *Node) closeConnections(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if n.closing.Load() {
--- a/server/node.go
+++ b/server/node.go
@@ -160,7 +160,7 @@
 }
 
 // callerHandler serves requests of callers. While the node closes its connections, it
-// refuses them: the connection of a request that arrives then may be closed under it.
+// refuses them, so that it ends in time and the caller goes to another one.
 func (n *Node) callerHandler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if n.closing.Load() {
